--- /dev/null
+++ b/internal/wire/names.go
@@ -0,0 +1,67 @@
+// Package wire holds the messages of gingertally's outside interfaces: their
+// CBOR form, their wire names, and the checks on what arrives. No other package
+// knows a wire name.
+package wire
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxBody is the largest body a user or worker may send or be sent.
+const MaxBody = 64 << 10
+
+// ErrMalformed says that a message is not what the protocol allows.
+var ErrMalformed = errors.New("malformed message")
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	// Generous bounds for lists from the cloud and the store; bodies from users
+	// and workers are bounded by their size long before.
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Raw is an undecoded CBOR value.
+type Raw = cbor.RawMessage
+
+// Marshal encodes v.
+func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
+
+// MustMarshal encodes a value built only of types that always encode.
+func MustMarshal(v any) []byte {
+	b, err := encMode.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err))
+	}
+	return b
+}
+
+// Unmarshal decodes exactly one value from b.
+func Unmarshal(b []byte, v any) error {
+	if err := decMode.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	return nil
+}
+
+// isMap tells whether b starts a CBOR map (major type 5): a decoder alone would
+// also take null for an empty struct.
+func isMap(b []byte) bool { return len(b) > 0 && b[0]>>5 == 5 }
