--- /dev/null
+++ b/cmd/gingertally/main.go
@@ -0,0 +1,87 @@
+// Command gingertally is the cluster scheduler's daemon and command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"gingertally/internal/config"
+	"gingertally/internal/daemon"
+)
+
+// version of the program.
+const version = "0.1.0"
+
+type cli struct {
+	Serve       serveCmd       `cmd:"" default:"withargs" help:"Run a controller with the platform's settings file."`
+	CheckConfig checkConfigCmd `cmd:"" name:"check-config" help:"Check a settings file without starting anything."`
+	Version     versionCmd     `cmd:"" help:"Print the version."`
+}
+
+type serveCmd struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+}
+
+func (c *serveCmd) Run() error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := d.Run(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+type checkConfigCmd struct {
+	Config string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+}
+
+func (c *checkConfigCmd) Run() error {
+	if _, err := config.Load(c.Config); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("gingertally", version)
+	return nil
+}
+
+func logLevel() slog.Level {
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "error":
+		return slog.LevelError
+	case "debug":
+		return slog.LevelDebug
+	}
+	return slog.LevelInfo
+}
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})))
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("gingertally"), kong.Description("A cluster scheduler: pipelines of jobs on rented machines."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "gingertally:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/core/decide.go
@@ -0,0 +1,179 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"gingertally/internal/core/capacity"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+// entryBytes is about what one attempt takes in a machine's record.
+const entryBytes = 64
+
+// decideEvery bounds how often a round of decisions is begun without need.
+const decideEvery = time.Second
+
+// settled tells whether a new leader has heard enough to place: all machines
+// that the records name, or one report period has passed.
+func (e *Engine) settled(now time.Time) bool {
+	if now.Sub(e.started) > e.cfg.ReportEvery*5/4+time.Second {
+		return true
+	}
+	if len(e.machines) == 0 || e.lastList.IsZero() {
+		return false
+	}
+	for _, m := range e.machines {
+		if m.State() == fleet.Unheard {
+			return false
+		}
+	}
+	return true
+}
+
+// decide runs a round of decisions, then plans what to rent and give back.
+func (e *Engine) decide(now time.Time, spent func() bool) {
+	if len(e.catalog) == 0 || !e.settled(now) || (!e.replan && now.Sub(e.placedAt) < decideEvery) {
+		return
+	}
+	e.replan, e.placedAt = false, now
+	var future []*placement.Slot
+	var demand []capacity.Demand
+	looked := 0
+	b := &placement.Board{
+		Now: now, Jobs: e.ranked(),
+		Team:    func(name string) placement.Team { return e.cfg.Teams[name] },
+		Usage:   e.usage,
+		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
+		Busy:    func(ref string) int { return e.useOf(ref).attempts },
+		Commit:  func(d placement.Decision) { looked++; e.place(now, d) },
+		Unmet:   func(j *pipeline.Job, n int) { demand = append(demand, capacity.Demand{Job: j, Tasks: n}) },
+		Spent: func() bool {
+			looked++
+			return looked > e.cfg.RoundBudget || (spent != nil && spent())
+		},
+	}
+	for _, m := range e.sortedMachines() {
+		t := e.catalog[m.Type]
+		if t == nil || m.Draining || m.Sick {
+			continue
+		}
+		s := placement.NewSlot(m, t, e.cfg.MaxPerValue/entryBytes)
+		switch {
+		case m.State() == fleet.Booting:
+			if now.Sub(m.FirstSeen) > 2*t.Boot+e.cfg.ReportEvery {
+				continue // may never come
+			}
+			s.Future = true
+			future = append(future, s)
+		case m.State() == fleet.Live && m.Confirmed && !m.HoldUntil.After(now) && !hasForeign(m):
+			b.Slots = append(b.Slots, s)
+		}
+	}
+	if !e.round.Run(b) {
+		e.replan = true
+		return
+	}
+	e.rent(now, demand, future)
+	e.giveBack(now, demand)
+}
+
+func hasForeign(m *fleet.Machine) bool {
+	for _, a := range m.Tasks {
+		if a.Foreign && a.State() != fleet.Exited {
+			return true
+		}
+	}
+	return false
+}
+
+// ranked is the unfinished jobs in the order in which they may choose.
+func (e *Engine) ranked() []*pipeline.Job {
+	out := append([]*pipeline.Job(nil), e.order...)
+	sort.SliceStable(out, func(i, k int) bool {
+		return !out[i].HeldBack(e.cfg.RestartLimit) && out[k].HeldBack(e.cfg.RestartLimit)
+	})
+	return out
+}
+
+// usage is what of a team may be on machines.
+func (e *Engine) usage(team string) (cpus, gpus float64) {
+	for ref, u := range e.use {
+		if j := e.jobs[ref]; j != nil && j.Team == team {
+			cpus += float64(u.attempts) * j.CPUs
+			gpus += float64(u.attempts) * j.GPUs
+		}
+	}
+	return
+}
+
+// place notes a decision: the start goes out once the store holds that the
+// attempt may be on the machine.
+func (e *Engine) place(now time.Time, d placement.Decision) {
+	j := d.Job
+	n := e.nextAttempt()
+	if j.Shape == pipeline.Gang && d.Task > 0 {
+		n = j.Tasks[0].Attempt // the tasks of a gang find each other by it
+	}
+	a := &fleet.Attempt{Key: fleet.Key{Ref: j.Ref, Task: d.Task}, Number: n, CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB, Image: j.Image}
+	e.attach(now, d.Slot.Machine, a, fleet.Intended)
+	j.Assign(d.Task, d.Slot.Machine.Name, n)
+	e.debug("placed", "job", j.Ref, "task", d.Task, "machine", d.Slot.Machine.Name, "type", d.Slot.Machine.Type)
+}
+
+// rent asks for machines for work that nothing has room for.
+func (e *Engine) rent(now time.Time, demand []capacity.Demand, future []*placement.Slot) {
+	if now.Sub(e.started) < 2*e.cfg.ReportEvery {
+		return // machines may be there that haven't been heard of yet
+	}
+	for _, o := range e.plan.Choose(now, demand, future, e.catalog) {
+		e.counter++
+		e.plan.Asked(o.Offer, o.Count)
+		e.out.Rent = append(e.out.Rent, Rent{Name: fmt.Sprintf("r-%d-%d", e.term, e.counter), Type: o.Offer.Type,
+			Zone: o.Offer.Zone, Spot: o.Offer.Spot, Count: o.Count})
+	}
+}
+
+// recentClass is how long a class of jobs counts as one that may come again.
+const recentClass = 4 * time.Minute
+
+// idleUseless is how long a machine is kept that no recent class of jobs fits;
+// idleUseful is the least time for others, which grows with the boot time that
+// giving one back too early would cost.
+const (
+	idleUseless = 10 * time.Second
+	idleUseful  = 30 * time.Second
+)
+
+// giveBack releases machines that have been idle too long.
+func (e *Engine) giveBack(now time.Time, demand []capacity.Demand) {
+	if len(e.classes) == 0 || now.Sub(e.started) < 3*e.cfg.ReportEvery {
+		return
+	}
+	for _, m := range e.sortedMachines() {
+		t := e.catalog[m.Type]
+		if t == nil || m.State() != fleet.Live || len(m.Tasks) > 0 || !m.Confirmed {
+			continue
+		}
+		keep := idleUseless
+		if e.useful(now, m, t) {
+			keep = idleUseful + t.Boot
+		}
+		if now.Sub(m.IdleSince) > keep {
+			e.release(now, m, "idle")
+		}
+	}
+}
+
+// useful tells whether jobs of a class seen of late could run on the machine.
+func (e *Engine) useful(now time.Time, m *fleet.Machine, t *placement.Type) bool {
+	for _, c := range e.classes {
+		if now.Sub(c.lastAt) < recentClass && c.spec != nil && t.Fits(c.spec) && c.spec.AllowsType(t.Name) && (c.spec.Spot || !m.Spot) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/engine.go
@@ -0,0 +1,257 @@
+// Package core is the deterministic heart of the service: a leader's view of
+// jobs and machines, moved on by Step. It does no input or output, starts no
+// goroutines, reads no clock, and gets its randomness from outside.
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gingertally/internal/core/capacity"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+// Config is what the core needs of the settings.
+type Config struct {
+	Teams        map[string]placement.Team
+	Zones        []string
+	ReportEvery  time.Duration
+	Lease        time.Duration
+	GangWait     time.Duration
+	GangPeers    time.Duration
+	CancelWithin time.Duration
+	ListLag      time.Duration
+	RestartLimit int           // bad exits of a task before it is held back
+	BatchEvery   time.Duration // how often partial progress is written
+	MaxPerValue  int           // bytes that one value in the store may have
+	RoundBudget  int           // tasks looked at in one round of decisions
+}
+
+// Engine is a leader's state for one term. It isn't safe for concurrent use.
+type Engine struct {
+	cfg      Config
+	term     uint64
+	rng      *rand.Rand
+	started  time.Time // when the term was claimed, by this node's clock
+	lastTick time.Time
+	jobs     map[string]*pipeline.Job
+	order    []*pipeline.Job // unfinished jobs in ready order
+	machines map[string]*fleet.Machine
+	gone     map[string]time.Time // names of machines proven gone
+	use      map[string]*jobUse   // what may be on machines, by job
+	catalog  placement.Catalog
+	counter  uint64
+	round    placement.Round
+	plan     capacity.Plan
+	replan   bool // something changed that placement may use
+	placedAt time.Time
+	lastList time.Time
+	finals   map[string]pipeline.Final // told for good
+	cleanup  []chunkRef                // done ranges of jobs that are over
+	orphans  map[string]uint64         // records of machines that are gone, with versions
+	lastJob  map[string]time.Time      // when a job's record was last written
+	classes  map[string]*classStats
+	out      Effects
+}
+
+// jobUse counts what of a job may be on machines.
+type jobUse struct {
+	attempts int
+	running  int
+	zones    map[string]int
+}
+
+// Reply answers a report.
+type Reply struct {
+	OK       bool // 200; otherwise the report is refused with 503
+	Token    uint64
+	Commands []fleet.Command
+}
+
+// Direct is a set of commands to be sent to a worker at once.
+type Direct struct {
+	Machine, Addr string
+	Session       uint64
+	Token         uint64
+	Commands      []fleet.Command
+}
+
+// Rent is a request for machines; Name is unique over all terms.
+type Rent struct {
+	Name       string
+	Type, Zone string
+	Spot       bool
+	Count      int
+}
+
+// Note is a line for the log.
+type Note struct {
+	Debug bool
+	Text  string
+	Args  []any
+}
+
+// Effects is what a step wants done.
+type Effects struct {
+	Reply   *Reply
+	Direct  []Direct
+	Rent    []Rent
+	Release [][]string
+	Deposed bool // a higher term exists
+	Notes   []Note
+}
+
+// Event is anything that moves the engine on.
+type Event interface {
+	apply(e *Engine, now time.Time)
+}
+
+// Snapshot is what the store held when the term was claimed.
+type Snapshot struct {
+	Jobs     []StoredJob
+	Machines []StoredMachine
+}
+
+// StoredJob is a job's record with its version and further done ranges.
+type StoredJob struct {
+	Record  pipeline.Record
+	Version uint64
+	Chunks  map[int][]int
+}
+
+// StoredMachine is a machine's record with its version.
+type StoredMachine struct {
+	Name    string
+	Record  fleet.Record
+	Version uint64
+}
+
+// New makes the engine of a term claimed at `now`. All earlier rights have
+// ended by then, so no earlier leader has answered a worker after it.
+func New(now time.Time, cfg Config, term uint64, snap Snapshot, rng *rand.Rand) *Engine {
+	e := &Engine{cfg: cfg, term: term, rng: rng, started: now, jobs: map[string]*pipeline.Job{},
+		machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, use: map[string]*jobUse{},
+		finals: map[string]pipeline.Final{}, orphans: map[string]uint64{}, lastJob: map[string]time.Time{},
+		classes: map[string]*classStats{}, replan: true}
+	for _, s := range snap.Jobs {
+		e.addJob(now, s)
+	}
+	e.inherit(now, snap.Machines)
+	return e
+}
+
+// Step applies an event and returns what is to be done about it.
+func (e *Engine) Step(now time.Time, ev Event) Effects {
+	e.out = Effects{}
+	ev.apply(e, now)
+	return e.out
+}
+
+// Term returns the engine's term, which is also its token.
+func (e *Engine) Term() uint64 { return e.term }
+
+func (e *Engine) note(text string, args ...any) {
+	e.out.Notes = append(e.out.Notes, Note{Text: text, Args: args})
+}
+
+func (e *Engine) debug(text string, args ...any) {
+	e.out.Notes = append(e.out.Notes, Note{Debug: true, Text: text, Args: args})
+}
+
+// attemptBits is the room for the attempts of one term in an attempt's number.
+const attemptBits = 24
+
+// nextAttempt makes a number that no other term or restart can have made.
+func (e *Engine) nextAttempt() uint64 {
+	e.counter++
+	return e.term<<attemptBits | e.counter
+}
+
+func (e *Engine) useOf(ref string) *jobUse {
+	u := e.use[ref]
+	if u == nil {
+		u = &jobUse{zones: map[string]int{}}
+		e.use[ref] = u
+	}
+	return u
+}
+
+// attach notes an attempt that is, or may be, on a machine; detach that it is
+// proven gone; moveAttempt what a machine reports. Together they keep the
+// counts that quotas, zones and gangs are checked against.
+func (e *Engine) attach(now time.Time, m *fleet.Machine, a *fleet.Attempt, st fleet.TaskState) {
+	m.Add(now, a, st)
+	if st == fleet.Exited {
+		return
+	}
+	e.account(m, a, 1)
+	if st == fleet.Running {
+		e.useOf(a.Ref).running++
+	}
+}
+
+func (e *Engine) account(m *fleet.Machine, a *fleet.Attempt, by int) {
+	u := e.useOf(a.Ref)
+	u.attempts += by
+	u.zones[m.Zone] += by
+	if u.attempts == 0 && e.jobs[a.Ref] == nil {
+		delete(e.use, a.Ref)
+	}
+	e.replan = true
+}
+
+func (e *Engine) moveAttempt(now time.Time, m *fleet.Machine, a *fleet.Attempt, to fleet.TaskState) {
+	was := a.State()
+	if !a.Move(now, to) {
+		return
+	}
+	if was == fleet.Running {
+		e.useOf(a.Ref).running--
+	}
+	if to == fleet.Running {
+		e.useOf(a.Ref).running++
+	}
+	if to == fleet.Exited {
+		e.account(m, a, -1)
+	}
+}
+
+func (e *Engine) detach(now time.Time, m *fleet.Machine, a *fleet.Attempt) {
+	e.moveAttempt(now, m, a, fleet.Exited)
+	m.Drop(now, a.Key)
+}
+
+// Tick lets time pass: silence, leases, cancellations, rounds of decisions.
+type Tick struct {
+	// Spent tells whether a round's time budget is used up; nil: never.
+	Spent func() bool
+}
+
+func (t Tick) apply(e *Engine, now time.Time) {
+	e.lastTick = now
+	e.watchMachines(now)
+	e.chaseCancelled(now)
+	e.decide(now, t.Spent)
+}
+
+// Resumed says that the right to act had lapsed and is proven again: silence
+// meanwhile says nothing about the machines.
+type Resumed struct{}
+
+func (Resumed) apply(e *Engine, now time.Time) {
+	for _, m := range e.machines {
+		if m.State() == fleet.Live || m.State() == fleet.Silent || m.State() == fleet.Unheard {
+			m.LastHeard = now
+		}
+	}
+}
+
+// Catalog brings the cloud's machine types and present prices.
+type Catalog struct{ Types placement.Catalog }
+
+func (c Catalog) apply(e *Engine, now time.Time) {
+	e.catalog = c.Types
+	e.replan = true
+}
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,364 @@
+// Package fleet holds what is known of the machines: their states, their
+// leases, and where each attempt may still be.
+package fleet
+
+import (
+	"time"
+)
+
+// TaskState is the state of an attempt on its machine.
+type TaskState uint8
+
+// States of an attempt. The first three are known only here; the rest are what
+// the machine reports.
+const (
+	Intended TaskState = iota // decided; the store doesn't hold it yet
+	Recorded                  // the store holds that it may be on the machine
+	Sent                      // the start went out in a report's response
+	Fetching
+	WaitingForGang
+	Running
+	Saving
+	Exited
+)
+
+// Cause says why a task exited.
+type Cause uint8
+
+// Causes of exits.
+const (
+	CauseNone Cause = iota
+	CauseDone
+	CauseStopped
+	CauseMatesGone
+	CauseAlone
+	CauseError
+	CauseNoRoom
+	CauseBusy
+	CauseUnknown
+)
+
+// Op is a command to a worker.
+type Op uint8
+
+// Commands to workers.
+const (
+	Start Op = iota
+	Stop
+	Forget
+)
+
+// Command is one command to a worker.
+type Command struct {
+	Op      Op
+	Ref     string
+	Task    int
+	Attempt uint64
+	Grace   time.Duration
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Ref     string
+	Task    int
+	Attempt uint64
+	State   TaskState
+	Cause   Cause
+	Saved   bool
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine, Addr, Type, Zone string
+	Spot                      bool
+	Session, Seq, Token       uint64
+	Notice                    time.Duration // negative: none
+	Tasks                     []TaskReport
+}
+
+// Key names a task.
+type Key struct {
+	Ref  string
+	Task int
+}
+
+// Attempt is one attempt that is, or may be, on a machine.
+type Attempt struct {
+	Key
+	Number   uint64
+	state    TaskState
+	Cause    Cause
+	SentSeq  uint64
+	Inherit  bool // from an earlier term: only a report under this term's token proves it gone
+	Foreign  bool // not wanted here; stopped and never counted as a result of ours
+	StopAt   time.Time
+	Stopping bool
+	Grace    time.Duration
+	Handled  bool // the exit was dealt with; the worker may forget it
+	CPUs     float64
+	GPUs     float64
+	MemGB    float64
+	Image    string
+	Since    time.Time // when it entered its state
+	RunStart time.Time
+}
+
+// State returns the attempt's state.
+func (a *Attempt) State() TaskState { return a.state }
+
+// Move is the one place where an attempt changes state. It returns false if
+// nothing changes; an exit is final.
+func (a *Attempt) Move(now time.Time, to TaskState) bool {
+	if a.state == to || a.state == Exited {
+		return false
+	}
+	a.state, a.Since = to, now
+	if to == Running && a.RunStart.IsZero() {
+		a.RunStart = now
+	}
+	return true
+}
+
+// MachineState is the state of a machine.
+type MachineState uint8
+
+// States of a machine.
+const (
+	Booting   MachineState = iota // rented or listed, never heard of
+	Unheard                       // the records say that tasks may be on it; not heard under this term
+	Live                          // reports
+	Silent                        // has stopped reporting
+	Releasing                     // a release is under way
+	Gone                          // proven gone
+)
+
+var machineStateNames = [...]string{"booting", "unheard", "live", "silent", "releasing", "gone"}
+
+func (s MachineState) String() string { return machineStateNames[s] }
+
+// Entry is one attempt in a machine's record.
+type Entry struct {
+	_       struct{} `cbor:",toarray"`
+	Ref     string
+	Task    int
+	Attempt uint64
+}
+
+// Record is what the store holds of a machine that may hold tasks: written
+// before the first start of each attempt there, so that whoever takes over
+// knows which attempts may be on machines that it hasn't heard from.
+type Record struct {
+	Type    string  `cbor:"ty"`
+	Zone    string  `cbor:"zo"`
+	Spot    bool    `cbor:"so,omitempty"`
+	Addr    string  `cbor:"ad"`
+	Entries []Entry `cbor:"e"`
+}
+
+// Machine is one machine.
+type Machine struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+	state                  MachineState
+	Session, Seq           uint64
+	Confirmed              bool      // has reported with this term's token, or never held anything of an earlier term
+	LastHeard              time.Time // when its newest report arrived
+	LeaseBase              time.Time // no 200 was sent to it after this
+	FirstSeen              time.Time
+	ListedAt               time.Time
+	IdleSince              time.Time
+	NoticeAt               time.Time // when the cloud takes it, zero without a notice
+	Draining               bool      // gets no more starts
+	Sick                   bool
+	HoldUntil              time.Time // gets no starts until then
+	ErrorJobs              map[string]bool
+	Errors                 int
+	ReleaseTries           int
+	Tasks                  map[Key]*Attempt
+	Images                 []Image // most recently used last
+	Version                uint64  // of its record in the store; 0: none
+	recorded               map[Key]uint64
+	RecordDirty            bool
+	TidiedAt               time.Time
+}
+
+// Image is an image that a machine is believed to have.
+type Image struct {
+	Name string
+	GB   float64
+}
+
+// NewMachine makes a machine in a first state.
+func NewMachine(now time.Time, name, typ, zone string, spot bool, st MachineState) *Machine {
+	return &Machine{Name: name, Type: typ, Zone: zone, Spot: spot, state: st, FirstSeen: now, IdleSince: now,
+		Tasks: map[Key]*Attempt{}, ErrorJobs: map[string]bool{}, recorded: map[Key]uint64{}}
+}
+
+// State returns the machine's state.
+func (m *Machine) State() MachineState { return m.state }
+
+// Move is the one place where a machine changes state; Gone is final.
+func (m *Machine) Move(to MachineState) bool {
+	if m.state == to || m.state == Gone {
+		return false
+	}
+	m.state = to
+	return true
+}
+
+// Newer tells whether a report is newer than all seen of this machine.
+func (m *Machine) Newer(r *Report) bool {
+	return r.Session > m.Session || (r.Session == m.Session && r.Seq > m.Seq)
+}
+
+// LeaseOver tells whether the worker's lease has certainly ended: nobody can
+// have answered it after LeaseBase, and its clock drifts by no more than that
+// of ours does.
+func (m *Machine) LeaseOver(now time.Time, lease time.Duration) bool {
+	return !m.LeaseBase.IsZero() && now.Sub(m.LeaseBase) > lease+lease/500+time.Second
+}
+
+// Used returns what all that may be on the machine takes of it. Exited tasks
+// take nothing.
+func (m *Machine) Used() (cpus, gpus, mem float64) {
+	for _, a := range m.Tasks {
+		if a.state != Exited {
+			cpus, gpus, mem = cpus+a.CPUs, gpus+a.GPUs, mem+a.MemGB
+		}
+	}
+	return
+}
+
+// Busy counts the attempts that may be on the machine.
+func (m *Machine) Busy() int {
+	n := 0
+	for _, a := range m.Tasks {
+		if a.state != Exited {
+			n++
+		}
+	}
+	return n
+}
+
+// Add notes an attempt that is, or may be, on the machine.
+func (m *Machine) Add(now time.Time, a *Attempt, st TaskState) {
+	a.state, a.Since = st, now
+	if st == Running {
+		a.RunStart = now
+	}
+	m.Tasks[a.Key] = a
+	if st == Intended {
+		m.RecordDirty = true
+	}
+}
+
+// Drop removes an attempt that is proven gone, or forgotten by its worker.
+func (m *Machine) Drop(now time.Time, k Key) {
+	delete(m.Tasks, k)
+	if len(m.Tasks) == 0 {
+		m.IdleSince = now
+	}
+}
+
+// StoreRecord returns the machine's record as it should now be written, and the
+// entries it holds.
+func (m *Machine) StoreRecord() Record {
+	r := Record{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Addr: m.Addr}
+	for k, a := range m.Tasks {
+		if a.state != Exited {
+			r.Entries = append(r.Entries, Entry{Ref: k.Ref, Task: k.Task, Attempt: a.Number})
+		}
+	}
+	return r
+}
+
+// RecordWritten notes that the store holds a record; intended attempts in it
+// may now be started.
+func (m *Machine) RecordWritten(now time.Time, r Record, version uint64) {
+	m.Version = version
+	clear(m.recorded)
+	for _, e := range r.Entries {
+		k := Key{e.Ref, e.Task}
+		m.recorded[k] = e.Attempt
+		if a := m.Tasks[k]; a != nil && a.Number == e.Attempt && a.state == Intended {
+			a.Move(now, Recorded)
+		}
+	}
+}
+
+// Stale tells whether the store's record names attempts that are gone.
+func (m *Machine) Stale() bool {
+	for k, n := range m.recorded {
+		if a := m.Tasks[k]; a == nil || a.Number != n || a.state == Exited {
+			return true
+		}
+	}
+	return false
+}
+
+// SetRecorded notes what the store's record holds after a takeover.
+func (m *Machine) SetRecorded(r Record, version uint64) {
+	m.Version = version
+	for _, e := range r.Entries {
+		m.recorded[Key{e.Ref, e.Task}] = e.Attempt
+	}
+}
+
+// HasImage tells whether the machine is believed to hold an image.
+func (m *Machine) HasImage(name string) bool {
+	for _, i := range m.Images {
+		if i.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// FetchingGB is how much the machine is presently fetching.
+func (m *Machine) FetchingGB() float64 {
+	var gb float64
+	seen := map[string]bool{}
+	for _, a := range m.Tasks {
+		if a.state != Fetching && a.state != Sent && a.state != Recorded && a.state != Intended || seen[a.Image] {
+			continue
+		}
+		seen[a.Image] = true
+		for _, i := range m.Images {
+			if i.Name == a.Image {
+				gb += i.GB
+			}
+		}
+	}
+	return gb
+}
+
+// UseImage notes that a task with an image was started; the cache keeps the
+// most recently used ones.
+func (m *Machine) UseImage(name string, gb, cacheGB float64) {
+	kept := m.Images[:0]
+	for _, i := range m.Images {
+		if i.Name != name {
+			kept = append(kept, i)
+		}
+	}
+	m.Images = append(kept, Image{name, gb})
+	var total float64
+	for _, i := range m.Images {
+		total += i.GB
+	}
+	for len(m.Images) > 1 && total > cacheGB {
+		total -= m.Images[0].GB
+		m.Images = m.Images[1:]
+	}
+}
+
+// DropImage notes that an image isn't there after all.
+func (m *Machine) DropImage(name string) {
+	kept := m.Images[:0]
+	for _, i := range m.Images {
+		if i.Name != name {
+			kept = append(kept, i)
+		}
+	}
+	m.Images = kept
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,333 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// classStats is what finished tasks taught about a class of jobs.
+type classStats struct {
+	runs   int
+	ratio  float64 // run time over estimate, smoothed
+	lastAt time.Time
+	spec   *pipeline.Spec // its latest job's
+}
+
+// JobStored brings a job's record as the store holds it: a newly accepted job,
+// or one that another node has cancelled.
+type JobStored struct{ Job StoredJob }
+
+func (s JobStored) apply(e *Engine, now time.Time) {
+	ref := s.Job.Record.Spec.Ref
+	j := e.jobs[ref]
+	if j == nil {
+		if _, over := e.finals[ref]; !over {
+			e.addJob(now, s.Job)
+			e.debug("job known", "job", ref)
+		}
+		return
+	}
+	if s.Job.Version <= j.Version {
+		return
+	}
+	j.Version = s.Job.Version
+	if s.Job.Record.Phase == pipeline.Cancelled && j.Cancel(time.UnixMilli(s.Job.Record.CancelledMS)) {
+		e.note("job cancelled", "job", ref)
+		e.stopJob(now, j, "cancelled")
+	}
+}
+
+// JobFinal says that the store holds a job's final entry.
+type JobFinal struct {
+	Ref   string
+	Final pipeline.Final
+}
+
+func (f JobFinal) apply(e *Engine, now time.Time) { e.finished(f.Ref, f.Final) }
+
+// finished takes in that the store holds a job's final entry.
+func (e *Engine) finished(ref string, f pipeline.Final) {
+	if len(e.finals) >= maxFinals {
+		clear(e.finals) // the store still knows them
+	}
+	e.finals[ref] = f
+	j := e.jobs[ref]
+	if j == nil {
+		return
+	}
+	j.SetWritten(f.Phase)
+	e.settleResults(j)
+	for c := 1; c*pipeline.ChunkTasks < len(j.Tasks); c++ {
+		e.cleanup = append(e.cleanup, chunkRef{j.Ref, c})
+	}
+	e.removeJob(j)
+	e.note("job over", "job", ref, "phase", f.Phase)
+}
+
+// maxFinals bounds the final states kept at hand.
+const maxFinals = 20_000
+
+func (e *Engine) addJob(now time.Time, s StoredJob) {
+	j, err := pipeline.NewJob(s.Record, s.Version, s.Chunks)
+	if err != nil {
+		e.note("job record unusable", "job", s.Record.Spec.Ref, "error", err)
+		return
+	}
+	e.jobs[j.Ref] = j
+	e.useOf(j.Ref)
+	at := sort.Search(len(e.order), func(i int) bool { return before(j, e.order[i]) })
+	e.order = append(e.order, nil)
+	copy(e.order[at+1:], e.order[at:])
+	e.order[at] = j
+	c := e.class(j.Class)
+	c.lastAt, c.spec = now, &j.Spec
+	j.Settle()
+	e.replan = true
+}
+
+// before orders jobs by urgency, and within it by when they became ready.
+func before(a, b *pipeline.Job) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if !a.Submitted.Equal(b.Submitted) {
+		return a.Submitted.Before(b.Submitted)
+	}
+	return a.Ref < b.Ref
+}
+
+func (e *Engine) class(name string) *classStats {
+	c := e.classes[name]
+	if c == nil {
+		c = &classStats{ratio: 1}
+		e.classes[name] = c
+	}
+	return c
+}
+
+func (e *Engine) removeJob(j *pipeline.Job) {
+	delete(e.jobs, j.Ref)
+	delete(e.lastJob, j.Ref)
+	if u := e.use[j.Ref]; u != nil && u.attempts == 0 {
+		delete(e.use, j.Ref)
+	}
+	for i, o := range e.order {
+		if o == j {
+			e.order = append(e.order[:i], e.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// JobView is what may be told about a job.
+type JobView struct {
+	Phase         pipeline.Phase
+	Done, Running int
+}
+
+// Lookup tells of a job what the store is known to hold; false if it isn't known here.
+func (e *Engine) Lookup(ref string) (JobView, bool) {
+	if f, ok := e.finals[ref]; ok {
+		return finalView(f), true
+	}
+	j := e.jobs[ref]
+	if j == nil {
+		return JobView{}, false
+	}
+	v := JobView{Phase: j.Written(), Done: j.Count(pipeline.Finished)}
+	if v.Phase == pipeline.Active {
+		v.Running = e.useOf(ref).running
+	}
+	return v, true
+}
+
+func finalView(f pipeline.Final) JobView {
+	v := JobView{Phase: f.Phase}
+	if f.Phase == pipeline.Done {
+		v.Done = f.Tasks
+	}
+	return v
+}
+
+// attemptsOf calls f for each attempt of a job that may be on a machine.
+func (e *Engine) attemptsOf(ref string, f func(*fleet.Machine, *fleet.Attempt)) {
+	if u := e.use[ref]; u == nil || u.attempts == 0 {
+		return
+	}
+	for _, m := range e.sortedMachines() {
+		for _, a := range sortedAttempts(m) {
+			if a.Ref == ref && a.State() != fleet.Exited {
+				f(m, a)
+			}
+		}
+	}
+}
+
+// stopJob ends all attempts of a job at once: nothing they could save counts.
+func (e *Engine) stopJob(now time.Time, j *pipeline.Job, why string) {
+	e.attemptsOf(j.Ref, func(m *fleet.Machine, a *fleet.Attempt) { e.stop(now, m, a, 0) })
+	e.debug("job stopped", "job", j.Ref, "why", why)
+}
+
+// stop tells an attempt to end, saving first if grace allows. A start that
+// hasn't left is simply withdrawn.
+func (e *Engine) stop(now time.Time, m *fleet.Machine, a *fleet.Attempt, grace time.Duration) {
+	switch a.State() {
+	case fleet.Exited:
+		return
+	case fleet.Intended, fleet.Recorded:
+		if !a.Inherit {
+			e.detach(now, m, a)
+			e.requeue(a)
+			return
+		}
+	}
+	if a.Stopping && a.Grace <= grace {
+		return
+	}
+	a.Stopping, a.StopAt, a.Grace = true, now, grace
+	if a.State() == fleet.Sent || m.Session == 0 {
+		return // goes with the next report's response, once it is there
+	}
+	e.direct(m, fleet.Command{Op: fleet.Stop, Ref: a.Ref, Task: a.Task, Attempt: a.Number, Grace: grace})
+}
+
+func (e *Engine) direct(m *fleet.Machine, c fleet.Command) {
+	for i := range e.out.Direct {
+		if d := &e.out.Direct[i]; d.Machine == m.Name {
+			d.Commands = append(d.Commands, c)
+			return
+		}
+	}
+	e.out.Direct = append(e.out.Direct, Direct{Machine: m.Name, Addr: m.Addr, Session: m.Session, Token: e.term, Commands: []fleet.Command{c}})
+}
+
+// requeue lets the task of a gone attempt be placed again.
+func (e *Engine) requeue(a *fleet.Attempt) {
+	if j := e.jobs[a.Ref]; j != nil && a.Task < len(j.Tasks) && j.Tasks[a.Task].Attempt == a.Number {
+		j.Requeue(a.Task)
+	}
+}
+
+// chaseCancelled makes sure that the tasks of cancelled jobs are gone in time,
+// also on machines that don't answer: those are released.
+func (e *Engine) chaseCancelled(now time.Time) {
+	for _, j := range e.order {
+		if j.Phase() != pipeline.Cancelled {
+			continue
+		}
+		late := now.Sub(j.CancelAt) > e.cfg.CancelWithin*6/10
+		e.attemptsOf(j.Ref, func(m *fleet.Machine, a *fleet.Attempt) {
+			e.stop(now, m, a, 0)
+			if late {
+				e.release(now, m, "holds a cancelled task")
+			}
+		})
+	}
+}
+
+// lost handles an attempt that is proven gone without a reported exit.
+func (e *Engine) lost(now time.Time, m *fleet.Machine, a *fleet.Attempt, why string) {
+	e.detach(now, m, a)
+	e.debug("attempt gone", "job", a.Ref, "task", a.Task, "machine", m.Name, "why", why)
+	e.requeue(a)
+	e.gangBroken(now, a)
+}
+
+// gangBroken stops the rest of a gang that has lost a task: an attempt of a
+// gang runs whole or not at all.
+func (e *Engine) gangBroken(now time.Time, a *fleet.Attempt) {
+	j := e.jobs[a.Ref]
+	if j == nil || j.Shape != pipeline.Gang || j.Tasks[0].State() == pipeline.Finished || len(j.Tasks) == 1 {
+		return
+	}
+	e.attemptsOf(a.Ref, func(m *fleet.Machine, b *fleet.Attempt) {
+		if !b.Stopping {
+			e.stop(now, m, b, 0)
+		}
+	})
+}
+
+// exited handles a reported exit, once.
+func (e *Engine) exited(now time.Time, m *fleet.Machine, a *fleet.Attempt, t fleet.TaskReport) {
+	if a.Handled {
+		return
+	}
+	j := e.jobs[a.Ref]
+	current := j != nil && a.Task < len(j.Tasks) && j.Tasks[a.Task].Attempt == a.Number
+	ran := a.RunStart
+	e.moveAttempt(now, m, a, fleet.Exited)
+	a.Cause = t.Cause
+	if t.Cause == fleet.CauseDone {
+		m.Errors = 0
+		clear(m.ErrorJobs)
+		if j == nil || j.Phase() != pipeline.Active || a.Task >= len(j.Tasks) {
+			a.Handled = true
+			return
+		}
+		if !ran.IsZero() && j.Estimate > 0 {
+			e.learn(j, now.Sub(ran))
+		}
+		j.Finish(a.Task)
+		if j.Settle() {
+			e.note("job complete", "job", j.Ref)
+		}
+		return // may be forgotten once written
+	}
+	a.Handled = true
+	e.debug("attempt exited", "job", a.Ref, "task", a.Task, "machine", m.Name, "cause", t.Cause, "saved", t.Saved)
+	if !current {
+		return
+	}
+	switch t.Cause {
+	case fleet.CauseError:
+		e.blame(now, m, j, a.Task)
+	case fleet.CauseNoRoom, fleet.CauseBusy:
+		m.HoldUntil = now.Add(e.cfg.ReportEvery)
+		m.DropImage(a.Image)
+	case fleet.CauseUnknown:
+		j.Tasks[a.Task].NotUntil = now.Add(2 * time.Second)
+	}
+	j.Requeue(a.Task)
+	e.gangBroken(now, a)
+	e.replan = true
+}
+
+// sickJobs is how many different jobs must fail on a machine, with no success
+// between, before the machine is blamed; sickErrors the same for bad exits.
+const (
+	sickJobs   = 2
+	sickErrors = 3
+)
+
+// blame weighs an exit with an error against the machine before the job.
+func (e *Engine) blame(now time.Time, m *fleet.Machine, j *pipeline.Job, task int) {
+	m.Errors++
+	m.ErrorJobs[j.Ref] = true
+	j.Abort(now, task, e.cfg.RestartLimit)
+	if !m.Sick && (len(m.ErrorJobs) >= sickJobs || m.Errors >= sickErrors && len(j.BadOn) == 0) {
+		m.Sick = true
+		e.note("machine taken for sick", "machine", m.Name, "errors", m.Errors)
+		for ref := range m.ErrorJobs {
+			if o := e.jobs[ref]; o != nil {
+				delete(o.BadOn, m.Name)
+			}
+		}
+		return
+	}
+	if !m.Sick {
+		j.BadOn[m.Name] = true
+	}
+}
+
+// learn takes in how long a task ran against its estimate.
+func (e *Engine) learn(j *pipeline.Job, ran time.Duration) {
+	c := e.class(j.Class)
+	r := min(max(float64(ran)/float64(j.Estimate), 0.1), 10)
+	c.runs++
+	w := max(1/float64(c.runs), 0.1)
+	c.ratio += (r - c.ratio) * w
+}
--- /dev/null
+++ b/internal/core/pipeline/pipeline.go
@@ -0,0 +1,361 @@
+// Package pipeline holds the state machines of jobs and their tasks, after
+// "Workflow Recovery" (Eder, Liebhart): what is ready, what is done, what an
+// aborted task costs, and what the store's record of it all says.
+package pipeline
+
+import (
+	"fmt"
+	"time"
+)
+
+// Shape is the kind of a job.
+type Shape uint8
+
+// Shapes of jobs.
+const (
+	Array   Shape = iota // independent tasks
+	Gang                 // all tasks at once or none
+	Service              // replicas that run until cancelled
+)
+
+// Priority orders jobs; a smaller one goes first.
+type Priority uint8
+
+// Priorities, the most urgent first.
+const (
+	Production Priority = iota
+	High
+	Normal
+	Low
+)
+
+// Spec is the description of a submitted job; it never changes.
+type Spec struct {
+	Ref        string        `cbor:"ref"`
+	Class      string        `cbor:"cl"`
+	Team       string        `cbor:"tm"`
+	Shape      Shape         `cbor:"sh"`
+	Priority   Priority      `cbor:"pr"`
+	Tasks      int           `cbor:"n"`
+	CPUs       float64       `cbor:"c"`
+	GPUs       float64       `cbor:"g"`
+	MemGB      float64       `cbor:"m"`
+	Image      string        `cbor:"im"`
+	ImageGB    float64       `cbor:"ig"`
+	Types      []string      `cbor:"ty"` // nil: any
+	Zone       string        `cbor:"zo,omitempty"`
+	OneZone    bool          `cbor:"oz,omitempty"`
+	Spread     bool          `cbor:"sp,omitempty"`
+	Spot       bool          `cbor:"so,omitempty"`
+	Estimate   time.Duration `cbor:"es"`
+	Checkpoint time.Duration `cbor:"ck,omitempty"`
+	Save       time.Duration `cbor:"sv,omitempty"`
+	Deadline   time.Duration `cbor:"dl,omitempty"`
+}
+
+// AllowsType tells whether the job may run on a machine type.
+func (s *Spec) AllowsType(t string) bool {
+	if s.Types == nil {
+		return true
+	}
+	for _, x := range s.Types {
+		if x == t {
+			return true
+		}
+	}
+	return false
+}
+
+// Phase is where a job is in its life.
+type Phase uint8
+
+// Phases of a job. Done and Cancelled are final.
+const (
+	Active Phase = iota
+	Done
+	Cancelled
+)
+
+// Record is what the state service holds of a job that isn't over, under one
+// key. Done ranges past the first chunk have keys of their own.
+type Record struct {
+	Spec        Spec  `cbor:"s"`
+	SubmittedMS int64 `cbor:"at"`
+	Phase       Phase `cbor:"p"`
+	CancelledMS int64 `cbor:"ca,omitempty"`
+	Done        []int `cbor:"d,omitempty"`
+	Restarts    []int `cbor:"r,omitempty"` // task, count, task, count, …
+}
+
+// Final is what the state service keeps of a job that is over.
+type Final struct {
+	Phase Phase `cbor:"p"`
+	Tasks int   `cbor:"n"`
+}
+
+// ChunkTasks is how many tasks share one value of done ranges: alternating
+// tasks, the worst case, then still fit the smallest value limit.
+const ChunkTasks = 1024
+
+// maxRestartPairs bounds the restart counts kept in a record. Losing the rest
+// only makes a task be retried more often.
+const maxRestartPairs = 100
+
+// TaskState is the state of one task as far as its pipeline is concerned.
+type TaskState uint8
+
+// States of a task.
+const (
+	Waiting  TaskState = iota // may be placed
+	Assigned                  // an attempt is, or may be, on a machine
+	Finished                  // its result is known
+)
+
+// Task is one task of a job.
+type Task struct {
+	state    TaskState
+	restarts uint16
+	Attempt  uint64    // the attempt it is assigned to
+	Machine  string    // where that attempt is
+	NotUntil time.Time // back-off after a bad exit
+}
+
+// State returns the task's state.
+func (t *Task) State() TaskState { return t.state }
+
+// Restarts returns how often the task ended with an error.
+func (t *Task) Restarts() int { return int(t.restarts) }
+
+// Job is the state of one job, a pipeline with a single vital and forcible job.
+type Job struct {
+	Spec
+	Submitted time.Time
+	CancelAt  time.Time
+	phase     Phase
+	written   Phase // the phase that the store is known to hold
+	Version   uint64
+	Tasks     []Task
+	counts    [3]int
+	Running   int // tasks reported as running, for display
+	Placed    bool
+	dirty     map[int]bool // chunks to be written
+	BadOn     map[string]bool
+	cursor    int
+}
+
+// NewJob builds a job's state from its record; chunks hold the done ranges past
+// the first chunk by number.
+func NewJob(r Record, version uint64, chunks map[int][]int) (*Job, error) {
+	if r.Spec.Tasks <= 0 {
+		return nil, fmt.Errorf("job %s: record without tasks", r.Spec.Ref)
+	}
+	j := &Job{Spec: r.Spec, Submitted: time.UnixMilli(r.SubmittedMS), phase: r.Phase, written: r.Phase, Version: version,
+		Tasks: make([]Task, r.Spec.Tasks), dirty: map[int]bool{}, BadOn: map[string]bool{}}
+	if r.CancelledMS != 0 {
+		j.CancelAt = time.UnixMilli(r.CancelledMS)
+	}
+	j.counts[Waiting] = r.Spec.Tasks
+	j.loadChunk(0, r.Done)
+	for c, runs := range chunks {
+		j.loadChunk(c, runs)
+	}
+	for i := 0; i+1 < len(r.Restarts); i += 2 {
+		if n := r.Restarts[i]; n >= 0 && n < len(j.Tasks) {
+			j.Tasks[n].restarts = uint16(min(r.Restarts[i+1], 1<<16-1))
+		}
+	}
+	return j, nil
+}
+
+// loadChunk applies run lengths: so many tasks not done, so many done, and on.
+func (j *Job) loadChunk(chunk int, runs []int) {
+	at, done := chunk*ChunkTasks, false
+	for _, n := range runs {
+		for end := min(at+n, len(j.Tasks)); at < end; at++ {
+			if done {
+				j.moveTask(at, Finished)
+			}
+		}
+		done = !done
+	}
+	delete(j.dirty, chunk)
+}
+
+// moveTask is the one place where a task changes state.
+func (j *Job) moveTask(i int, to TaskState) {
+	t := &j.Tasks[i]
+	if t.state == to || t.state == Finished {
+		return // a result, once known, stays
+	}
+	j.counts[t.state]--
+	t.state = to
+	j.counts[to]++
+	switch to {
+	case Waiting:
+		t.Machine, t.Attempt = "", 0
+		j.cursor = min(j.cursor, i)
+	case Finished:
+		t.Machine, t.Attempt = "", 0
+		j.dirty[i/ChunkTasks] = true
+	}
+}
+
+// Assign notes that an attempt of a waiting task is, or may be, on a machine.
+func (j *Job) Assign(i int, machine string, attempt uint64) {
+	j.moveTask(i, Assigned)
+	j.Tasks[i].Machine, j.Tasks[i].Attempt = machine, attempt
+	j.Placed = true
+}
+
+// Requeue notes that the attempt of an assigned task is gone without a result.
+func (j *Job) Requeue(i int) {
+	if j.Tasks[i].state == Assigned {
+		j.moveTask(i, Waiting)
+	}
+}
+
+// Finish notes a task's result. Tasks of a gang complete together.
+func (j *Job) Finish(i int) {
+	if j.Shape != Gang {
+		j.moveTask(i, Finished)
+		return
+	}
+	for k := range j.Tasks {
+		j.moveTask(k, Finished)
+	}
+}
+
+// Abort counts an exit with an error against the task's restart limit and says
+// how long to hold the task back: a lone job is forcible, so past the limit it
+// is repeated at a slower and slower rate rather than failed.
+func (j *Job) Abort(now time.Time, i, limit int) {
+	t := &j.Tasks[i]
+	if t.restarts < 1<<16-1 {
+		t.restarts++
+	}
+	j.dirty[0] = true
+	wait := time.Second
+	if over := int(t.restarts) - limit; over > 0 {
+		wait = min(5*time.Second<<min(over, 6), 2*time.Minute)
+	}
+	t.NotUntil = now.Add(wait)
+}
+
+// HeldBack tells whether the job has failed so often on good machines that it
+// goes behind all others.
+func (j *Job) HeldBack(limit int) bool { return len(j.BadOn) > limit }
+
+// Phase returns the job's phase as decided here.
+func (j *Job) Phase() Phase { return j.phase }
+
+// Written returns the job's phase as the store is known to hold it: the only
+// one that a user may hear of.
+func (j *Job) Written() Phase { return j.written }
+
+// Count returns how many tasks are in a state.
+func (j *Job) Count(s TaskState) int { return j.counts[s] }
+
+// moveJob is the one place where a job changes phase; final phases stay.
+func (j *Job) moveJob(to Phase) bool {
+	if j.phase != Active || to == Active {
+		return false
+	}
+	j.phase = to
+	return true
+}
+
+// Settle moves the job to Done once all its tasks are.
+func (j *Job) Settle() bool {
+	return j.Shape != Service && j.counts[Finished] == len(j.Tasks) && j.moveJob(Done)
+}
+
+// Cancel takes over a cancellation that the store holds.
+func (j *Job) Cancel(at time.Time) bool {
+	if j.phase == Done && j.written != Done {
+		j.phase = Active // the cancellation was written before our result could be
+	}
+	if !j.moveJob(Cancelled) {
+		return false
+	}
+	j.CancelAt = at
+	j.written = Cancelled
+	return true
+}
+
+// SetWritten notes that the store holds a phase.
+func (j *Job) SetWritten(p Phase) { j.written = p }
+
+// NextWaiting returns the first task at or after `from` that may be placed now, or -1.
+func (j *Job) NextWaiting(now time.Time, from int) int {
+	from = max(from, j.cursor)
+	first := true
+	for i := from; i < len(j.Tasks); i++ {
+		t := &j.Tasks[i]
+		if t.state == Waiting {
+			if !t.NotUntil.After(now) {
+				return i
+			}
+			first = false
+		} else if first && i == j.cursor && t.state == Finished {
+			j.cursor = i + 1
+		}
+	}
+	return -1
+}
+
+// Dirty tells whether a chunk's done ranges (or the restart counts) have
+// changed since they were last written.
+func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
+
+// DirtyChunks lists the chunks to be written.
+func (j *Job) DirtyChunks() []int {
+	out := make([]int, 0, len(j.dirty))
+	for c := range j.dirty {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Clean notes that a chunk's present content is about to be written; Touch puts
+// it back if the write failed.
+func (j *Job) Clean(chunk int) { delete(j.dirty, chunk) }
+
+// Touch marks a chunk as not written.
+func (j *Job) Touch(chunk int) { j.dirty[chunk] = true }
+
+// Chunk returns a chunk's done ranges as run lengths.
+func (j *Job) Chunk(chunk int) []int {
+	var runs []int
+	done, n := false, 0
+	for i := chunk * ChunkTasks; i < min((chunk+1)*ChunkTasks, len(j.Tasks)); i++ {
+		if f := j.Tasks[i].state == Finished; f != done {
+			runs = append(runs, n)
+			done, n = f, 0
+		}
+		n++
+	}
+	if done {
+		runs = append(runs, n)
+	}
+	return runs
+}
+
+// Record returns the job's record as it should now be written.
+func (j *Job) Record() Record {
+	r := Record{Spec: j.Spec, SubmittedMS: j.Submitted.UnixMilli(), Phase: j.phase, Done: j.Chunk(0)}
+	if j.phase == Done {
+		r.Phase = Active // done is written as the job's final entry only
+	}
+	if !j.CancelAt.IsZero() {
+		r.CancelledMS = j.CancelAt.UnixMilli()
+	}
+	for i := range j.Tasks {
+		if n := j.Tasks[i].restarts; n > 0 && len(r.Restarts) < 2*maxRestartPairs {
+			r.Restarts = append(r.Restarts, i, int(n))
+		}
+	}
+	return r
+}
+
+// FinalEntry returns what stays of the job once it is over.
+func (j *Job) FinalEntry() Final { return Final{Phase: j.phase, Tasks: len(j.Tasks)} }
--- /dev/null
+++ b/internal/core/reports.go
@@ -0,0 +1,260 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// ReportIn brings a worker's report; its Reply is in the effects.
+type ReportIn struct{ Report fleet.Report }
+
+func (r ReportIn) apply(e *Engine, now time.Time) {
+	rep := r.Report
+	e.out.Reply = &Reply{}
+	if rep.Token > e.term {
+		e.out.Deposed = true
+		return
+	}
+	if _, gone := e.gone[rep.Machine]; gone {
+		return // sent before the machine was released
+	}
+	m := e.machines[rep.Machine]
+	if m == nil {
+		m = fleet.NewMachine(now, rep.Machine, rep.Type, rep.Zone, rep.Spot, fleet.Booting)
+		m.Confirmed = true // no record names it, so it never held a task
+		e.machines[m.Name] = m
+		e.note("machine reports unexpectedly", "machine", m.Name, "type", m.Type, "zone", m.Zone)
+	}
+	if !m.Newer(&rep) {
+		return // an old copy proves nothing and must not renew the lease
+	}
+	e.hear(now, m, &rep)
+	e.out.Reply = &Reply{OK: true, Token: e.term, Commands: e.commands(now, m)}
+	m.LeaseBase = now
+}
+
+// hear takes in a report that is newer than all before it.
+func (e *Engine) hear(now time.Time, m *fleet.Machine, r *fleet.Report) {
+	newSession := r.Session > m.Session
+	was := m.State()
+	if was == fleet.Booting {
+		m.IdleSince = now
+	}
+	if was != fleet.Releasing && m.Move(fleet.Live) {
+		e.note("machine live", "machine", m.Name, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "was", was.String(), "after", now.Sub(m.FirstSeen))
+		e.replan = true
+	}
+	m.Addr, m.LastHeard = r.Addr, now
+	m.Session, m.Seq = r.Session, r.Seq
+	if r.Token == e.term {
+		m.Confirmed = true
+	}
+	if newSession {
+		// The worker killed and forgot all that earlier sessions held, also what
+		// earlier terms had started. Whatever is there now is in the list below;
+		// of earlier terms' late starts only a confirmed report can speak.
+		for _, a := range sortedAttempts(m) {
+			if a.Inherit && !m.Confirmed {
+				continue
+			}
+			e.lost(now, m, a, "session over")
+		}
+	}
+	listed := make(map[fleet.Key]uint64, len(r.Tasks))
+	for _, t := range r.Tasks {
+		e.hearTask(now, m, t)
+		listed[fleet.Key{Ref: t.Ref, Task: t.Task}] = t.Attempt
+	}
+	for _, a := range sortedAttempts(m) {
+		if n, ok := listed[a.Key]; ok && n == a.Number {
+			continue
+		}
+		switch {
+		case a.State() == fleet.Exited:
+			m.Drop(now, a.Key)
+			e.unforgotten(now, a)
+		case a.Inherit:
+			if m.Confirmed {
+				e.lost(now, m, a, "not reported under this term")
+			}
+		case a.State() == fleet.Sent && r.Seq > a.SentSeq:
+			// The response with the start was answered or dropped before this
+			// report was sent; the worker never executes it later.
+			e.lost(now, m, a, "start dropped")
+		case a.State() >= fleet.Fetching:
+			e.lost(now, m, a, "no longer reported")
+		}
+	}
+	e.notice(now, m, r.Notice)
+}
+
+// unforgotten handles an exit that left the reports before it was dealt with
+// (the worker's lease ended): a result was noted already, all else is handled.
+func (e *Engine) unforgotten(now time.Time, a *fleet.Attempt) {
+	if !a.Handled && a.Cause != fleet.CauseDone {
+		e.requeue(a)
+	}
+}
+
+// hearTask takes in one task of a report.
+func (e *Engine) hearTask(now time.Time, m *fleet.Machine, t fleet.TaskReport) {
+	k := fleet.Key{Ref: t.Ref, Task: t.Task}
+	a := m.Tasks[k]
+	if a != nil && a.Number != t.Attempt {
+		switch {
+		case a.Inherit && t.Attempt > a.Number:
+			e.lost(now, m, a, "a newer attempt is there") // placed only once this one was proven gone
+		case a.State() <= fleet.Recorded && !a.Inherit:
+			e.stop(now, m, a, 0) // the start hasn't left; the old attempt goes first
+		}
+		if a = m.Tasks[k]; a != nil {
+			return
+		}
+	}
+	if a == nil {
+		a = e.adopt(now, m, t)
+	}
+	a.Inherit = false
+	if t.State == fleet.Exited {
+		e.exited(now, m, a, t)
+		return
+	}
+	e.moveAttempt(now, m, a, t.State)
+}
+
+// adopt takes in a reported attempt that nothing here speaks of.
+func (e *Engine) adopt(now time.Time, m *fleet.Machine, t fleet.TaskReport) *fleet.Attempt {
+	a := &fleet.Attempt{Key: fleet.Key{Ref: t.Ref, Task: t.Task}, Number: t.Attempt}
+	j := e.jobs[t.Ref]
+	if j != nil && t.Task < len(j.Tasks) {
+		a.CPUs, a.GPUs, a.MemGB, a.Image = j.CPUs, j.GPUs, j.MemGB, j.Image
+	}
+	st := t.State
+	if st == fleet.Exited {
+		st = fleet.Running // exited() moves it on, and settles the counts
+	}
+	e.attach(now, m, a, st)
+	a.RunStart = time.Time{}
+	wanted := j != nil && t.Task < len(j.Tasks) && j.Phase() == pipeline.Active &&
+		j.Tasks[t.Task].State() == pipeline.Waiting && !gangHasOther(j, t.Attempt)
+	if wanted && t.State != fleet.Exited {
+		j.Assign(t.Task, m.Name, t.Attempt)
+	} else if t.State != fleet.Exited {
+		a.Foreign = true
+		e.note("unexpected task", "job", t.Ref, "task", t.Task, "machine", m.Name, "attempt", t.Attempt)
+		e.stop(now, m, a, 0)
+	}
+	return a
+}
+
+func gangHasOther(j *pipeline.Job, attempt uint64) bool {
+	if j.Shape != pipeline.Gang {
+		return false
+	}
+	for i := range j.Tasks {
+		if j.Tasks[i].State() == pipeline.Assigned && j.Tasks[i].Attempt != attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// commands is what the worker is told in answer to the report just heard: first
+// what it may forget, then stops, then starts.
+func (e *Engine) commands(now time.Time, m *fleet.Machine) []fleet.Command {
+	var clears, stops, starts []fleet.Command
+	for _, a := range sortedAttempts(m) {
+		c := fleet.Command{Ref: a.Ref, Task: a.Task, Attempt: a.Number}
+		switch st := a.State(); {
+		case st == fleet.Exited:
+			if a.Handled {
+				c.Op = fleet.Forget
+				clears = append(clears, c)
+			}
+		case a.Stopping:
+			if st == fleet.Saving && a.Grace > 0 {
+				continue // it saves; a second stop could end that
+			}
+			c.Op, c.Grace = fleet.Stop, a.Grace
+			stops = append(stops, c)
+		case st == fleet.Recorded && !a.Inherit && m.Confirmed && !m.Draining && !m.Sick && m.State() == fleet.Live:
+			c.Op = fleet.Start
+			a.SentSeq = m.Seq
+			e.moveAttempt(now, m, a, fleet.Sent)
+			m.UseImage(a.Image, e.imageGB(a.Ref), e.catalog.Cache(m.Type))
+			starts = append(starts, c)
+			e.debug("start", "job", a.Ref, "task", a.Task, "machine", m.Name, "attempt", a.Number)
+		}
+	}
+	return append(append(clears, stops...), starts...)
+}
+
+func (e *Engine) imageGB(ref string) float64 {
+	if j := e.jobs[ref]; j != nil {
+		return j.ImageGB
+	}
+	return 0
+}
+
+// notice handles the cloud's word that it takes the machine: what can save is
+// stopped in time and goes on elsewhere; the rest may still finish.
+func (e *Engine) notice(now time.Time, m *fleet.Machine, left time.Duration) {
+	if left < 0 {
+		return
+	}
+	if m.NoticeAt.IsZero() {
+		e.note("machine will be taken", "machine", m.Name, "in", left)
+	}
+	m.NoticeAt, m.Draining = now.Add(left), true
+	e.drain(now, m, left)
+}
+
+// drain stops what is on a machine that is to be left.
+func (e *Engine) drain(now time.Time, m *fleet.Machine, left time.Duration) {
+	for _, a := range sortedAttempts(m) {
+		j := e.jobs[a.Ref]
+		if a.Stopping || a.State() == fleet.Exited || j == nil {
+			continue
+		}
+		if a.State() == fleet.Running && (j.Checkpoint == 0 || j.Save >= left) {
+			continue // can't save: it may as well go on
+		}
+		e.stopOrderly(now, m, a, j)
+	}
+}
+
+// stopOrderly stops an attempt so that it saves; of a gang, all tasks at once.
+func (e *Engine) stopOrderly(now time.Time, m *fleet.Machine, a *fleet.Attempt, j *pipeline.Job) {
+	grace := j.Save + time.Second
+	if j.Shape != pipeline.Gang {
+		e.stop(now, m, a, grace)
+		return
+	}
+	e.attemptsOf(a.Ref, func(om *fleet.Machine, o *fleet.Attempt) { e.stop(now, om, o, grace) })
+}
+
+func sortedAttempts(m *fleet.Machine) []*fleet.Attempt {
+	out := make([]*fleet.Attempt, 0, len(m.Tasks))
+	for _, a := range m.Tasks {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].Ref != out[k].Ref {
+			return out[i].Ref < out[k].Ref
+		}
+		return out[i].Task < out[k].Task
+	})
+	return out
+}
+
+func (e *Engine) sortedMachines() []*fleet.Machine {
+	out := make([]*fleet.Machine, 0, len(e.machines))
+	for _, m := range e.machines {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,168 @@
+// Package daemon wires the parts into the process that every controller runs.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gingertally/internal/agentapi"
+	"gingertally/internal/cloud"
+	"gingertally/internal/config"
+	"gingertally/internal/core"
+	"gingertally/internal/core/placement"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/leadership"
+	"gingertally/internal/peer"
+	"gingertally/internal/statestore"
+	"gingertally/internal/userapi"
+)
+
+// Daemon is one controller.
+type Daemon struct {
+	cfg     *config.Settings
+	core    core.Config
+	store   *statestore.Client
+	jobs    *jobstore.Jobs
+	cloud   *cloud.Client
+	peers   *peer.Client
+	lead    *leadership.Lead
+	users   *userapi.Service
+	agents  *agentapi.Service
+	orders  *orderSender
+	reign   atomic.Pointer[reign]
+	catalog atomic.Pointer[placement.Catalog]
+	started time.Time
+}
+
+// Parts of the state service's rates that one node may use: the leader needs
+// most of what there is, and a takeover's overlap is short.
+const (
+	requestPart = 0.45
+	writePart   = 0.45
+)
+
+// leaseTTL is how long a leader's right lasts without renewal. Shorter ones
+// give false changes when a node falls behind, longer ones leave the workers
+// without an owner after a crash.
+const leaseTTL = 3 * time.Second
+
+// New makes a controller.
+func New(cfg *config.Settings) (*Daemon, error) {
+	p := &cfg.Params
+	d := &Daemon{cfg: cfg, started: time.Now()}
+	d.core = core.Config{
+		Teams: map[string]placement.Team{}, Zones: p.Zones,
+		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
+		GangWait: p.Workers.GangWait.Duration(), GangPeers: p.Workers.GangPeer.Duration(),
+		CancelWithin: p.Workers.Cancel.Duration(), ListLag: p.Cloud.ListLag.Duration(),
+		RestartLimit: 3, BatchEvery: 2 * time.Second, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
+	}
+	for _, t := range p.Teams {
+		d.core.Teams[t.Name] = placement.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
+	}
+	conns := max(8, min(64, p.Resources.MaxSockets/20))
+	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
+		Requests: p.State.RPS * requestPart, Writes: p.State.WriteRPS * writePart})
+	d.jobs = jobstore.New(d.store)
+	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*0.7)
+	d.orders = newOrderSender()
+	addrs := map[string]string{}
+	for _, q := range cfg.Peers {
+		addrs[q.Member] = q.Addr
+	}
+	var err error
+	if d.peers, err = peer.NewClient(cfg.Member, addrs); err != nil {
+		return nil, err
+	}
+	d.lead = leadership.New(d.store, leadership.Options{Member: cfg.Member, TTL: leaseTTL,
+		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf}})
+	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams, Zones: p.Zones, Cancelled: d.cancelled}
+	d.agents = &agentapi.Service{Self: cfg.Member, Leader: agentLeader{d}}
+	return d, nil
+}
+
+// Run serves until ctx ends or something that can't be repaired fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(d.cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
+	debug.SetGCPercent(200)
+	defer d.peers.Close()
+	var lc net.ListenConfig
+	clients, err := lc.Listen(ctx, "tcp", d.cfg.ClientListen)
+	if err != nil {
+		return fmt.Errorf("client_listen: %w", err)
+	}
+	peers, err := lc.Listen(ctx, "tcp", d.cfg.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	slog.Info("serving", "member", d.cfg.Member, "clients", d.cfg.ClientListen, "peers", d.cfg.PeerListen)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.serveHTTP(ctx, clients) })
+	g.Go(func() error { return peer.Serve(ctx, peers, d.relayed) })
+	g.Go(func() error { return d.lead.Run(ctx) })
+	g.Go(func() error { return d.keepCatalog(ctx) })
+	return g.Wait()
+}
+
+// deaf tells whether no worker has reached this node of late, as when it is cut
+// off from them: it then leaves the lead to others.
+func (d *Daemon) deaf() bool {
+	quiet := 3*d.core.ReportEvery + 2*time.Second
+	if time.Since(d.started) < quiet {
+		return false
+	}
+	return time.Since(d.agents.LastContact()) > quiet
+}
+
+func (d *Daemon) types() placement.Catalog {
+	if c := d.catalog.Load(); c != nil {
+		return *c
+	}
+	return nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// View tells of a job what this node knows as the entitled leader.
+func (d *Daemon) View(ref string) (core.JobView, bool) {
+	r := d.reign.Load()
+	if r == nil {
+		return core.JobView{}, false
+	}
+	v, ok := r.lookup(ref)
+	// A final state never changes; any other only the entitled owner may tell.
+	return v, ok && d.lead.Entitled(time.Now())
+}
+
+// askTimeout is short: the store answers as well.
+const askTimeout = 400 * time.Millisecond
+
+// Ask asks the leading node about a job.
+func (d *Daemon) Ask(ctx context.Context, ref string) (core.JobView, bool) {
+	name := d.lead.Leader()
+	if name == "" || name == d.cfg.Member {
+		return core.JobView{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	status, body, err := d.peers.Relay(ctx, name, "GET", viewPath+ref, nil)
+	if err != nil || status != 200 {
+		return core.JobView{}, false
+	}
+	return decodeView(body)
+}
+
+// cancelled tells the leader of a cancellation written here, should its watch lag.
+func (d *Daemon) cancelled(ref string) {
+	if r := d.reign.Load(); r != nil {
+		go r.refresh(ref)
+	}
+}
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,175 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/userapi"
+	"gingertally/internal/wire"
+)
+
+const (
+	runsPath = "/v2/runs"
+	beatPath = "/agent/beat"
+	viewPath = "/view/" // between nodes only
+)
+
+// userTimeout is when a node stops trying to serve a user, who waits 5 s for a
+// submission and 2 s for a poll.
+const (
+	submitTimeout = 3 * time.Second
+	pollTimeout   = 1500 * time.Millisecond
+	relayTimeout  = time.Second
+)
+
+func (d *Daemon) serveHTTP(ctx context.Context, ln net.Listener) error {
+	s := &fasthttp.Server{
+		Handler:               func(rc *fasthttp.RequestCtx) { d.handle(ctx, rc) },
+		MaxRequestBodySize:    wire.MaxBody,
+		Concurrency:           max(64, d.cfg.Params.Resources.MaxSockets*3/4),
+		IdleTimeout:           2 * time.Minute,
+		ReadTimeout:           2 * time.Minute,
+		WriteTimeout:          10 * time.Second,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		ErrorHandler:          badRequest,
+		Logger:                quiet{},
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Shutdown() })
+	defer stop()
+	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve clients: %w", err)
+	}
+	return nil
+}
+
+// quiet drops fasthttp's lines about broken connections, which are the peers' affair.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// badRequest answers what fasthttp couldn't read: too large, or not HTTP.
+func badRequest(rc *fasthttp.RequestCtx, _ error) { rc.SetStatusCode(400) }
+
+func (d *Daemon) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
+	path, method := string(rc.Path()), string(rc.Method())
+	if path == "/healthz" {
+		rc.SetStatusCode(d.health())
+		return
+	}
+	body := rc.PostBody()
+	if method == "POST" && path == beatPath {
+		a := d.agents.Beat(ctx, body, false)
+		rc.SetStatusCode(a.Status)
+		if a.Body != nil {
+			rc.SetContentType("application/cbor")
+			rc.SetBody(a.Body)
+		}
+		return
+	}
+	if !strings.HasPrefix(path, runsPath) {
+		rc.SetStatusCode(404)
+		return
+	}
+	a := d.user(ctx, method, path, body)
+	if a.Status == 503 {
+		if status, reply, ok := d.elsewhere(ctx, method, path, body); ok {
+			rc.SetStatusCode(status)
+			rc.SetContentType("application/cbor")
+			rc.SetBody(reply)
+			return
+		}
+	}
+	rc.SetStatusCode(a.Status)
+	if a.RetryAfter {
+		rc.Response.Header.Set("Retry-After", "1")
+	}
+	if a.Body != nil {
+		rc.SetContentType("application/cbor")
+		rc.SetBody(wire.MustMarshal(a.Body))
+	}
+}
+
+// health is 200 once this node can judge submissions. It doesn't follow the
+// state service: an outage makes all nodes fail alike, and a node that alone
+// is refused passes its users' calls on.
+func (d *Daemon) health() int {
+	if len(d.types()) == 0 {
+		return 503
+	}
+	return 200
+}
+
+// user serves a user's call at this node.
+func (d *Daemon) user(ctx context.Context, method, path string, body []byte) userapi.Answer {
+	rest := strings.TrimPrefix(path, runsPath)
+	switch {
+	case method == "POST" && rest == "":
+		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+		defer cancel()
+		return d.users.Submit(ctx, body)
+	case method == "GET" && strings.HasPrefix(rest, "/"):
+		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+		defer cancel()
+		return d.users.Get(ctx, rest[1:])
+	case method == "POST" && strings.HasPrefix(rest, "/") && strings.HasSuffix(rest, "/withdraw"):
+		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+		defer cancel()
+		return d.users.Withdraw(ctx, strings.TrimSuffix(rest[1:], "/withdraw"))
+	}
+	return userapi.Answer{Status: 404}
+}
+
+// elsewhere has another node serve a call that this one can't, as when the
+// state service refuses this node alone.
+func (d *Daemon) elsewhere(ctx context.Context, method, path string, body []byte) (int, []byte, bool) {
+	for _, p := range d.cfg.Peers {
+		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+		status, reply, err := d.peers.Relay(ctx, p.Member, method, path, append([]byte(nil), body...))
+		cancel()
+		if err == nil && status != 503 {
+			return status, reply, true
+		}
+	}
+	return 0, nil, false
+}
+
+// relayed serves what another node passed on.
+func (d *Daemon) relayed(ctx context.Context, _, method, path string, body []byte) (int, []byte) {
+	if path == beatPath {
+		a := d.agents.Beat(ctx, body, true)
+		return a.Status, a.Body
+	}
+	if ref, ok := strings.CutPrefix(path, viewPath); ok {
+		v, ok := d.View(ref)
+		if !ok {
+			return 404, nil
+		}
+		return 200, encodeView(v)
+	}
+	a := d.user(ctx, method, path, body)
+	if a.Body == nil {
+		return a.Status, nil
+	}
+	return a.Status, wire.MustMarshal(a.Body)
+}
+
+type view struct {
+	Phase         pipeline.Phase `cbor:"p"`
+	Done, Running int
+}
+
+func encodeView(v core.JobView) []byte { return wire.MustMarshal(view(v)) }
+
+func decodeView(b []byte) (core.JobView, bool) {
+	var v view
+	err := wire.Unmarshal(b, &v)
+	return core.JobView(v), err == nil
+}
--- /dev/null
+++ b/internal/jobstore/jobstore.go
@@ -0,0 +1,303 @@
+// Package jobstore lays the jobs' and machines' records out in the state
+// service, and keeps the rules of who may change them: a job is created once,
+// cancelled by compare-and-set, and otherwise written by the leader alone,
+// under the condition of its term.
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/leadership"
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// Prefixes of keys: unfinished jobs, final entries, further done ranges, machines.
+const (
+	JobPrefix     = "j/"
+	finalPrefix   = "f/"
+	chunkPrefix   = "d/"
+	machinePrefix = "m/"
+)
+
+// Errors of the job store.
+var (
+	ErrExists     = errors.New("job exists")
+	ErrUnknownJob = errors.New("unknown job")
+	ErrDeposed    = errors.New("the term is over")
+)
+
+// Store is what the job store needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (statestore.Item, bool, error)
+	List(ctx context.Context, prefix string) ([]statestore.Item, uint64, error)
+	Commit(ctx context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error)
+}
+
+// Jobs is the job store.
+type Jobs struct {
+	store Store
+
+	mu     sync.Mutex
+	finals map[string]pipeline.Final // final entries never change
+}
+
+// New makes a job store.
+func New(s Store) *Jobs { return &Jobs{store: s, finals: map[string]pipeline.Final{}} }
+
+// maxFinals bounds the final entries kept at hand.
+const maxFinals = 5_000
+
+func (j *Jobs) remember(ref string, f pipeline.Final) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.finals) >= maxFinals {
+		clear(j.finals)
+	}
+	j.finals[ref] = f
+}
+
+func (j *Jobs) remembered(ref string) (pipeline.Final, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	f, ok := j.finals[ref]
+	return f, ok
+}
+
+// State is what the store holds of a job.
+type State struct {
+	Found   bool
+	Over    bool // the final entry was found
+	Phase   pipeline.Phase
+	Done    int
+	Record  pipeline.Record // if not over
+	Version uint64
+	Final   pipeline.Final // if over
+}
+
+// Create writes a new job. ErrExists says that the job is known already.
+func (j *Jobs) Create(ctx context.Context, spec pipeline.Spec, now time.Time) error {
+	rec := pipeline.Record{Spec: spec, SubmittedMS: now.UnixMilli()}
+	v, err := wire.Marshal(rec)
+	if err != nil {
+		return fmt.Errorf("job %s: %w", spec.Ref, err)
+	}
+	_, err = j.store.Commit(ctx,
+		[]wire.Condition{{Path: JobPrefix + spec.Ref}, {Path: finalPrefix + spec.Ref}},
+		[]wire.Change{{Put: JobPrefix + spec.Ref, V: v}})
+	var conflict *statestore.ConflictError
+	if errors.As(err, &conflict) {
+		return ErrExists
+	}
+	return err
+}
+
+// Load reads a job. The record is read before the final entry that takes its
+// place, so a job is never missed between the two.
+func (j *Jobs) Load(ctx context.Context, ref string) (State, error) {
+	if f, ok := j.remembered(ref); ok {
+		return finalState(f), nil
+	}
+	it, found, err := j.store.Get(ctx, JobPrefix+ref)
+	if err != nil {
+		return State{}, err
+	}
+	if found {
+		st := State{Found: true, Version: it.Stamp}
+		if err := wire.Unmarshal(it.V, &st.Record); err != nil {
+			return State{}, fmt.Errorf("job %s: %w", ref, err)
+		}
+		st.Phase = st.Record.Phase
+		for i := 1; i < len(st.Record.Done); i += 2 {
+			st.Done += st.Record.Done[i]
+		}
+		return st, nil
+	}
+	it, found, err = j.store.Get(ctx, finalPrefix+ref)
+	if err != nil || !found {
+		return State{}, err
+	}
+	var f pipeline.Final
+	if err := wire.Unmarshal(it.V, &f); err != nil {
+		return State{}, fmt.Errorf("job %s: %w", ref, err)
+	}
+	j.remember(ref, f)
+	return finalState(f), nil
+}
+
+func finalState(f pipeline.Final) State {
+	st := State{Found: true, Over: true, Phase: f.Phase, Final: f}
+	if f.Phase == pipeline.Done {
+		st.Done = f.Tasks
+	}
+	return st
+}
+
+// cancelTries bounds the races of one cancellation with the leader's writes.
+const cancelTries = 4
+
+// Cancel cancels a job unless it is done; it returns the phase that then holds.
+// Against the leader's writes the record's version decides.
+func (j *Jobs) Cancel(ctx context.Context, ref string, now time.Time) (pipeline.Phase, error) {
+	for range cancelTries {
+		st, err := j.Load(ctx, ref)
+		switch {
+		case err != nil:
+			return 0, err
+		case !st.Found:
+			return 0, ErrUnknownJob
+		case st.Phase != pipeline.Active:
+			return st.Phase, nil
+		}
+		rec := st.Record
+		rec.Phase, rec.CancelledMS = pipeline.Cancelled, now.UnixMilli()
+		v, err := wire.Marshal(rec)
+		if err != nil {
+			return 0, fmt.Errorf("job %s: %w", ref, err)
+		}
+		_, err = j.store.Commit(ctx, []wire.Condition{{Path: JobPrefix + ref, Stamp: st.Version}},
+			[]wire.Change{{Put: JobPrefix + ref, V: v}})
+		var conflict *statestore.ConflictError
+		switch {
+		case err == nil:
+			return pipeline.Cancelled, nil
+		case !errors.As(err, &conflict):
+			return 0, err
+		}
+	}
+	return 0, fmt.Errorf("job %s: record keeps changing", ref)
+}
+
+// DecodeJob turns a job's item into what the core takes.
+func DecodeJob(it statestore.Item) (core.StoredJob, error) {
+	s := core.StoredJob{Version: it.Stamp}
+	if err := wire.Unmarshal(it.V, &s.Record); err != nil {
+		return s, fmt.Errorf("%s: %w", it.Path, err)
+	}
+	return s, nil
+}
+
+// Snapshot reads all that a new leader needs, and the revision to watch on from.
+func (j *Jobs) Snapshot(ctx context.Context) (core.Snapshot, uint64, error) {
+	var snap core.Snapshot
+	jobs, ledger, err := j.store.List(ctx, JobPrefix)
+	if err != nil {
+		return snap, 0, err
+	}
+	chunks, _, err := j.store.List(ctx, chunkPrefix)
+	if err != nil {
+		return snap, 0, err
+	}
+	machines, _, err := j.store.List(ctx, machinePrefix)
+	if err != nil {
+		return snap, 0, err
+	}
+	byJob := map[string]map[int][]int{}
+	for _, it := range chunks {
+		ref, num, ok := strings.Cut(strings.TrimPrefix(it.Path, chunkPrefix), "/")
+		n, err := strconv.Atoi(num)
+		var runs []int
+		if !ok || err != nil || wire.Unmarshal(it.V, &runs) != nil {
+			return snap, 0, fmt.Errorf("unreadable key %s", it.Path)
+		}
+		if byJob[ref] == nil {
+			byJob[ref] = map[int][]int{}
+		}
+		byJob[ref][n] = runs
+	}
+	for _, it := range jobs {
+		s, err := DecodeJob(it)
+		if err != nil {
+			return snap, 0, err
+		}
+		s.Chunks = byJob[s.Record.Spec.Ref]
+		snap.Jobs = append(snap.Jobs, s)
+	}
+	for _, it := range machines {
+		m := core.StoredMachine{Name: strings.TrimPrefix(it.Path, machinePrefix), Version: it.Stamp}
+		if err := wire.Unmarshal(it.V, &m.Record); err != nil {
+			return snap, 0, fmt.Errorf("%s: %w", it.Path, err)
+		}
+		snap.Machines = append(snap.Machines, m)
+	}
+	return snap, ledger, nil
+}
+
+// maxTxnBytes keeps a transaction below the state service's limit (PROTOCOL:
+// 64 KiB in its JSON form, which is somewhat larger than CBOR).
+const maxTxnBytes = 40 << 10
+
+// Apply writes as many of the leader's writes, in order, as one transaction
+// takes. It returns those it covered, and their revision. On a conflict over
+// the term, ErrDeposed.
+func (j *Jobs) Apply(ctx context.Context, t leadership.Term, writes []core.Write) ([]core.Write, uint64, error) {
+	conds := []wire.Condition{{Path: leadership.TermKey, Stamp: t.Stamp}}
+	var changes []wire.Change
+	size, n := 0, 0
+	for _, w := range writes {
+		cs, chs, err := encode(w)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, c := range chs {
+			size += len(c.V) + len(c.Put) + len(c.Drop)
+		}
+		if size > maxTxnBytes && n > 0 {
+			break
+		}
+		conds, changes = append(conds, cs...), append(changes, chs...)
+		n++
+	}
+	rev, err := j.store.Commit(ctx, conds, changes)
+	var conflict *statestore.ConflictError
+	if errors.As(err, &conflict) {
+		for _, k := range conflict.Failed {
+			if k == leadership.TermKey {
+				return writes[:n], 0, ErrDeposed
+			}
+		}
+	}
+	return writes[:n], rev, err
+}
+
+func encode(w core.Write) ([]wire.Condition, []wire.Change, error) {
+	put := func(key string, v any, version uint64) ([]wire.Condition, []wire.Change, error) {
+		b, err := wire.Marshal(v)
+		return []wire.Condition{{Path: key, Stamp: version}}, []wire.Change{{Put: key, V: b}}, err
+	}
+	switch w.Kind {
+	case core.WriteMachine:
+		return put(machinePrefix+w.Name, w.Machine, w.Version)
+	case core.DropMachine:
+		key := machinePrefix + w.Name
+		return []wire.Condition{{Path: key, Stamp: w.Version}}, []wire.Change{{Drop: key}}, nil
+	case core.WriteJob:
+		return put(JobPrefix+w.Name, w.Job, w.Version)
+	case core.WriteFinal:
+		conds, changes, err := put(finalPrefix+w.Name, w.Final, 0)
+		key := JobPrefix + w.Name
+		return append(conds, wire.Condition{Path: key, Stamp: w.Version}), append(changes, wire.Change{Drop: key}), err
+	case core.WriteChunk:
+		b, err := wire.Marshal(w.Runs)
+		return nil, []wire.Change{{Put: chunkKey(w), V: b}}, err
+	case core.DropChunk:
+		return nil, []wire.Change{{Drop: chunkKey(w)}}, nil
+	}
+	return nil, nil, fmt.Errorf("unknown write %d", w.Kind)
+}
+
+func chunkKey(w core.Write) string { return fmt.Sprintf("%s%s/%05d", chunkPrefix, w.Name, w.Chunk) }
+
+// MachineVersion reads the version of a machine's record; 0 if there is none.
+func (j *Jobs) MachineVersion(ctx context.Context, name string) (uint64, error) {
+	it, _, err := j.store.Get(ctx, machinePrefix+name)
+	return it.Stamp, err
+}
