--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -20,6 +20,7 @@
 type Demand struct {
 	Job   *pipeline.Job
 	Tasks int
+	Zones map[string]int // where tasks of the job may be already
 }
 
 // Order asks for machines of an offer.
@@ -81,51 +82,111 @@
 	return !p.refused[o].until.After(now) && p.asking[o] == 0
 }
 
-// Choose plans what to rent for work that nothing has room for, after what
-// booting machines will take. `future` are those machines' slots.
-func (p *Plan) Choose(now time.Time, demand []Demand, future []*placement.Slot, c placement.Catalog) []Order {
-	var orders []Order
+// Choose plans what to rent for work that nothing has room for, after what the
+// given slots, of live and of booting machines, will take of it.
+func (p *Plan) Choose(now time.Time, demand []Demand, slots []*placement.Slot, c placement.Catalog) []Order {
+	g := &planning{plan: p, now: now, catalog: c, slots: slots, used: map[Offer]bool{}}
 	for o, n := range p.asking {
-		for range n {
-			if t := c[o.Type]; t != nil {
-				future = append(future, emptySlot(t, o))
-			}
+		if t := c[o.Type]; t != nil {
+			g.add(t, o, n)
 		}
 	}
-	used := map[Offer]bool{}
 	for _, d := range demand {
-		left := fill(d, future)
-		for left > 0 {
-			o, t, ok := p.cheapest(now, d.Job, left, c, used)
-			if !ok {
-				break
-			}
-			per := t.Capacity(&d.Job.Spec)
-			n := min((left+per-1)/per, maxPerRequest)
-			orders = append(orders, Order{o, n})
-			used[o] = true
-			var fresh []*placement.Slot
-			for range n {
-				fresh = append(fresh, emptySlot(t, o))
-			}
-			future = append(future, fresh...)
-			left = fill(Demand{d.Job, left}, fresh)
+		g.meet(d)
+	}
+	return g.orders
+}
+
+// planning is one plan in the making.
+type planning struct {
+	plan    *Plan
+	now     time.Time
+	catalog placement.Catalog
+	slots   []*placement.Slot
+	used    map[Offer]bool
+	orders  []Order
+}
+
+func (g *planning) add(t *placement.Type, o Offer, n int) []*placement.Slot {
+	from := len(g.slots)
+	for range n {
+		g.slots = append(g.slots, &placement.Slot{Type: t, Zone: o.Zone, Spot: o.Spot, CPUs: t.CPUs, GPUs: t.GPUs, MemG: t.MemGB,
+			Room: math.MaxInt32, Future: true})
+	}
+	return g.slots[from:]
+}
+
+// meet books a demand on what is there or coming, and orders the rest.
+func (g *planning) meet(d Demand) {
+	zones := map[string]int{}
+	for z, n := range d.Zones {
+		zones[z] = n
+	}
+	only := ""
+	if d.Job.OneZone {
+		only = g.zoneFor(d, zones)
+	}
+	left := fill(d.Job, d.Tasks, g.slots, zones, only)
+	for left > 0 {
+		o, t, ok := g.cheapest(d.Job, left, zones, only)
+		if !ok {
+			return
 		}
+		per := t.Capacity(&d.Job.Spec)
+		want := min(left, placement.ZoneRoom(d.Job, o.Zone, zones))
+		n := min((want+per-1)/per, maxPerRequest)
+		g.orders = append(g.orders, Order{o, n})
+		g.used[o] = true
+		left = fill(d.Job, left, g.add(t, o, n), zones, only)
 	}
-	return orders
 }
 
-func emptySlot(t *placement.Type, o Offer) *placement.Slot {
-	return &placement.Slot{Type: t, Zone: o.Zone, Spot: o.Spot, CPUs: t.CPUs, GPUs: t.GPUs, MemG: t.MemGB,
-		Room: math.MaxInt32, Future: true}
+// zoneFor picks the zone for a job that must stay in one: where its tasks are,
+// else where the least is missing of those where something can be had.
+func (g *planning) zoneFor(d Demand, zones map[string]int) string {
+	for z, n := range zones {
+		if n > 0 {
+			return z
+		}
+	}
+	names := map[string]bool{}
+	for _, t := range g.catalog {
+		for _, z := range t.Zones {
+			names[z] = true
+		}
+	}
+	sorted := make([]string, 0, len(names))
+	for z := range names {
+		sorted = append(sorted, z)
+	}
+	sort.Strings(sorted)
+	best, least := "", math.MaxInt
+	for _, z := range sorted {
+		var copies []*placement.Slot
+		for _, s := range g.slots {
+			c := *s
+			copies = append(copies, &c)
+		}
+		left := fill(d.Job, d.Tasks, copies, map[string]int{}, z)
+		if left > 0 {
+			if _, _, ok := g.cheapest(d.Job, left, nil, z); !ok {
+				continue
+			}
+		}
+		if left < least {
+			best, least = z, left
+		}
+	}
+	return best
 }
 
-// fill books a demand on coming machines and returns what is left of it.
-func fill(d Demand, slots []*placement.Slot) int {
-	left := d.Tasks
+// fill books tasks of a job on slots and returns how many are left.
+func fill(j *pipeline.Job, left int, slots []*placement.Slot, zones map[string]int, only string) int {
 	for _, s := range slots {
-		for left > 0 && s.Allowed(&d.Job.Spec) && s.Free(&d.Job.Spec) > 0 {
-			s.Take(&d.Job.Spec)
+		for left > 0 && (only == "" || s.Zone == only) && s.Allowed(&j.Spec) && s.Free(&j.Spec) > 0 &&
+			placement.ZoneRoom(j, s.Zone, zones) > 0 {
+			s.Take(&j.Spec)
+			zones[s.Zone]++
 			left--
 		}
 	}
@@ -133,43 +194,37 @@
 }
 
 // cheapest is the open offer with the least cost for each task of the job.
-func (p *Plan) cheapest(now time.Time, j *pipeline.Job, left int, c placement.Catalog, used map[Offer]bool) (Offer, *placement.Type, bool) {
-	type option struct {
-		o    Offer
-		t    *placement.Type
-		cost float64
-	}
-	var opts []option
-	for _, t := range c {
+func (g *planning) cheapest(j *pipeline.Job, left int, zones map[string]int, only string) (Offer, *placement.Type, bool) {
+	var best Offer
+	var bestType *placement.Type
+	low := math.Inf(1)
+	for _, t := range g.catalog {
 		per := t.Capacity(&j.Spec)
 		if per == 0 || !j.AllowsType(t.Name) {
 			continue
 		}
 		for _, z := range t.Zones {
-			if j.Zone != "" && j.Zone != z {
+			if (j.Zone != "" && j.Zone != z) || (only != "" && only != z) || placement.ZoneRoom(j, z, zones) < 1 {
 				continue
 			}
 			for _, spot := range [2]bool{false, true} {
 				o := Offer{t.Name, z, spot}
-				if (spot && !j.Spot) || used[o] || !p.open(now, o) {
+				if (spot && !j.Spot) || g.used[o] || !g.plan.open(g.now, o) {
 					continue
 				}
-				opts = append(opts, option{o, t, t.Price(spot) / float64(min(per, left))})
+				cost := t.Price(spot) / float64(min(per, left))
+				if cost < low || cost == low && before(o, best) {
+					best, bestType, low = o, t, cost
+				}
 			}
 		}
 	}
-	if len(opts) == 0 {
-		return Offer{}, nil, false
+	return best, bestType, bestType != nil
+}
+
+func before(a, b Offer) bool {
+	if a.Type != b.Type {
+		return a.Type < b.Type
 	}
-	sort.Slice(opts, func(i, k int) bool {
-		a, b := opts[i], opts[k]
-		if a.cost != b.cost {
-			return a.cost < b.cost
-		}
-		if a.o.Zone != b.o.Zone {
-			return a.o.Zone < b.o.Zone
-		}
-		return a.o.Type < b.o.Type
-	})
-	return opts[0].o, opts[0].t, true
+	return a.Zone < b.Zone
 }
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -50,7 +50,9 @@
 		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
 		Busy:    func(ref string) int { return e.useOf(ref).attempts },
 		Commit:  func(d placement.Decision) { looked++; e.place(now, d) },
-		Unmet:   func(j *pipeline.Job, n int) { demand = append(demand, capacity.Demand{Job: j, Tasks: n}) },
+		Unmet: func(j *pipeline.Job, n int) {
+			demand = append(demand, capacity.Demand{Job: j, Tasks: n, Zones: e.useOf(j.Ref).zones})
+		},
 		Spent: func() bool {
 			looked++
 			return looked > e.cfg.RoundBudget || (spent != nil && spent())
@@ -77,7 +79,7 @@
 		e.replan = true
 		return
 	}
-	e.rent(now, demand, future)
+	e.rent(now, demand, append(future, b.Slots...))
 	e.giveBack(now, demand)
 }
 
@@ -125,11 +127,11 @@
 }
 
 // rent asks for machines for work that nothing has room for.
-func (e *Engine) rent(now time.Time, demand []capacity.Demand, future []*placement.Slot) {
+func (e *Engine) rent(now time.Time, demand []capacity.Demand, slots []*placement.Slot) {
 	if now.Sub(e.started) < 2*e.cfg.ReportEvery {
 		return // machines may be there that haven't been heard of yet
 	}
-	for _, o := range e.plan.Choose(now, demand, future, e.catalog) {
+	for _, o := range e.plan.Choose(now, demand, slots, e.catalog) {
 		e.counter++
 		e.plan.Asked(o.Offer, o.Count)
 		e.out.Rent = append(e.out.Rent, Rent{Name: fmt.Sprintf("r-%d-%d", e.term, e.counter), Type: o.Offer.Type,
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -137,6 +137,11 @@
 	if j == nil {
 		return JobView{}, false
 	}
+	if j.Phase() != j.Written() || j.Doubtful() {
+		// The store may hold more than is known here; a node that reads it there
+		// must not be contradicted.
+		return JobView{}, false
+	}
 	v := JobView{Phase: j.Written(), Done: j.Count(pipeline.Finished)}
 	if v.Phase == pipeline.Active {
 		v.Running = e.useOf(ref).running
@@ -144,6 +149,16 @@
 	return v, true
 }
 
+// Doubt says that a cancellation of the job was sent to the store, and nobody
+// knows whether it was, or will yet be, applied.
+type Doubt struct{ Ref string }
+
+func (d Doubt) apply(e *Engine, now time.Time) {
+	if j := e.jobs[d.Ref]; j != nil {
+		j.Doubt() // writing the record anew settles it
+	}
+}
+
 func finalView(f pipeline.Final) JobView {
 	v := JobView{Phase: f.Phase}
 	if f.Phase == pipeline.Done {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -231,6 +231,7 @@
 	if !m.LeaseOver(now, e.cfg.Lease) {
 		return
 	}
+	m.Move(fleet.Silent) // whatever is placed on it now would be counted as gone at once
 	if m.Busy() > 0 {
 		e.note("lease over", "machine", m.Name, "busy", m.Busy())
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -248,8 +248,8 @@
 	return max(n, 0)
 }
 
-// zoneRoom is how many more tasks of the job a zone may take.
-func zoneRoom(j *pipeline.Job, zone string, zones map[string]int) int {
+// ZoneRoom is how many more tasks of the job a zone may take, given where others are.
+func ZoneRoom(j *pipeline.Job, zone string, zones map[string]int) int {
 	n := len(j.Tasks)
 	if j.OneZone {
 		for z, k := range zones {
@@ -264,13 +264,12 @@
 	return n
 }
 
-// candidates are the slots that take at least one task, the best first by a
-// selection each time, since taking changes the scores.
+// best is the slot with the lowest score of those that take the task.
 func (b *Board) best(j *pipeline.Job, task int, zones map[string]int, only string) *Slot {
 	var best *Slot
 	low := math.Inf(1)
 	for _, s := range b.Slots {
-		if s.Future || (only != "" && s.Zone != only) || !s.Allowed(&j.Spec) || s.Free(&j.Spec) < 1 || zoneRoom(j, s.Zone, zones) < 1 {
+		if s.Future || (only != "" && s.Zone != only) || !s.Allowed(&j.Spec) || s.Free(&j.Spec) < 1 || ZoneRoom(j, s.Zone, zones) < 1 {
 			continue
 		}
 		if s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: task}] != nil || j.BadOn[s.Machine.Name] {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"gingertally/internal/cloud"
 	"gingertally/internal/config"
 	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
 	"gingertally/internal/core/placement"
 	"gingertally/internal/jobstore"
 	"gingertally/internal/leadership"
@@ -84,7 +86,7 @@
 	}
 	d.lead = leadership.New(d.store, leadership.Options{Member: cfg.Member, TTL: leaseTTL,
 		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf}})
-	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams, Zones: p.Zones, Cancelled: d.cancelled}
+	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams, Zones: p.Zones}
 	d.agents = &agentapi.Service{Self: cfg.Member, Leader: agentLeader{d}}
 	return d, nil
 }
@@ -160,9 +162,21 @@
 	return decodeView(body)
 }
 
-// cancelled tells the leader of a cancellation written here, should its watch lag.
-func (d *Daemon) cancelled(ref string) {
-	if r := d.reign.Load(); r != nil {
-		go r.refresh(ref)
+// Cancel cancels a job as the leader, whose engine knows of it before anybody
+// is told, or while nobody leads.
+func (d *Daemon) Cancel(ctx context.Context, ref string) (pipeline.Phase, error) {
+	guard := jobstore.NobodyLeads()
+	r := d.reign.Load()
+	if r != nil && r.entitled() {
+		guard = jobstore.UnderTerm(r.term)
+	}
+	st, err := d.jobs.Cancel(ctx, ref, time.Now(), guard)
+	switch {
+	case r == nil:
+	case err != nil && !errors.Is(err, jobstore.ErrUnknownJob):
+		r.step(core.Doubt{Ref: ref})
+	case err == nil && !st.Over:
+		r.step(core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}})
 	}
+	return st.Phase, err
 }
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -130,9 +130,17 @@
 // elsewhere has another node serve a call that this one can't, as when the
 // state service refuses this node alone.
 func (d *Daemon) elsewhere(ctx context.Context, method, path string, body []byte) (int, []byte, bool) {
+	leader := d.lead.Leader()
+	names := []string{}
 	for _, p := range d.cfg.Peers {
+		names = append(names, p.Member)
+		if p.Member == leader {
+			names[0], names[len(names)-1] = leader, names[0] // it can serve all calls
+		}
+	}
+	for _, name := range names {
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-		status, reply, err := d.peers.Relay(ctx, p.Member, method, path, append([]byte(nil), body...))
+		status, reply, err := d.peers.Relay(ctx, name, method, path, append([]byte(nil), body...))
 		cancel()
 		if err == nil && status != 503 {
 			return status, reply, true
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 	ErrExists     = errors.New("job exists")
 	ErrUnknownJob = errors.New("unknown job")
 	ErrDeposed    = errors.New("the term is over")
+	ErrNotOurs    = errors.New("another node leads")
 )
 
 // Store is what the job store needs of the state service.
@@ -144,36 +146,48 @@
 // cancelTries bounds the races of one cancellation with the leader's writes.
 const cancelTries = 4
 
-// Cancel cancels a job unless it is done; it returns the phase that then holds.
-// Against the leader's writes the record's version decides.
-func (j *Jobs) Cancel(ctx context.Context, ref string, now time.Time) (pipeline.Phase, error) {
+// Cancel cancels a job unless it is done; it returns what then holds. Against
+// the leader's writes the record's version decides. The guard makes sure that
+// no leader goes on telling users an older state: it is the leader's own term,
+// or that nobody holds the place.
+func (j *Jobs) Cancel(ctx context.Context, ref string, now time.Time, guard wire.Condition) (State, error) {
 	for range cancelTries {
 		st, err := j.Load(ctx, ref)
 		switch {
 		case err != nil:
-			return 0, err
+			return st, err
 		case !st.Found:
-			return 0, ErrUnknownJob
+			return st, ErrUnknownJob
 		case st.Phase != pipeline.Active:
-			return st.Phase, nil
+			return st, nil
 		}
-		rec := st.Record
-		rec.Phase, rec.CancelledMS = pipeline.Cancelled, now.UnixMilli()
-		v, err := wire.Marshal(rec)
+		st.Phase = pipeline.Cancelled
+		st.Record.Phase, st.Record.CancelledMS = pipeline.Cancelled, now.UnixMilli()
+		v, err := wire.Marshal(st.Record)
 		if err != nil {
-			return 0, fmt.Errorf("job %s: %w", ref, err)
+			return st, fmt.Errorf("job %s: %w", ref, err)
 		}
-		_, err = j.store.Commit(ctx, []wire.Condition{{Path: JobPrefix + ref, Stamp: st.Version}},
+		st.Version, err = j.store.Commit(ctx, []wire.Condition{guard, {Path: JobPrefix + ref, Stamp: st.Version}},
 			[]wire.Change{{Put: JobPrefix + ref, V: v}})
 		var conflict *statestore.ConflictError
 		switch {
 		case err == nil:
-			return pipeline.Cancelled, nil
+			return st, nil
 		case !errors.As(err, &conflict):
-			return 0, err
+			return st, err
+		case slices.Contains(conflict.Failed, guard.Path):
+			return st, ErrNotOurs
 		}
 	}
-	return 0, fmt.Errorf("job %s: record keeps changing", ref)
+	return State{}, fmt.Errorf("job %s: record keeps changing", ref)
+}
+
+// NobodyLeads is the guard of a cancellation while nobody leads.
+func NobodyLeads() wire.Condition { return wire.Condition{Path: leadership.HolderKey} }
+
+// UnderTerm is the guard of a cancellation by the leader itself.
+func UnderTerm(t leadership.Term) wire.Condition {
+	return wire.Condition{Path: leadership.TermKey, Stamp: t.Stamp}
 }
 
 // DecodeJob turns a job's item into what the core takes.
@@ -259,10 +273,8 @@
 	rev, err := j.store.Commit(ctx, conds, changes)
 	var conflict *statestore.ConflictError
 	if errors.As(err, &conflict) {
-		for _, k := range conflict.Failed {
-			if k == leadership.TermKey {
-				return writes[:n], 0, ErrDeposed
-			}
+		if slices.Contains(conflict.Failed, leadership.TermKey) {
+			return writes[:n], 0, ErrDeposed
 		}
 	}
 	return writes[:n], rev, err
--- /dev/null
+++ b/internal/standin/checker.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/wire"
+)
+
+// checker holds the rules of PROTOCOL against what happens.
+type checker struct {
+	w       *World
+	on      map[string]map[*task]bool // tasks on machines, by name
+	started int
+	broken  error
+	// attempts seen, to catch numbers used twice
+	used map[string]*machine
+}
+
+func newChecker(w *World) *checker {
+	return &checker{w: w, on: map[string]map[*task]bool{}, used: map[string]*machine{}}
+}
+
+func (c *checker) fail(format string, args ...any) {
+	if c.broken == nil {
+		c.broken = fmt.Errorf(format, args...)
+	}
+}
+
+func name(t *task) string { return wire.TaskName(t.job.spec.Ref, t.index) }
+
+// landed checks a task's start: ran_twice, wrong_place, quota, ran_cancelled.
+func (c *checker) landed(t *task) {
+	c.started++
+	key := name(t)
+	for o := range c.on[key] {
+		c.fail("ran_twice: %s starts on %s while on %s", key, t.m.name, o.m.name)
+	}
+	if m := c.used[taskKey(t.job.spec.Ref, t.index, t.attempt)]; m != nil {
+		c.fail("attempt %d of %s used again", t.attempt, key)
+	}
+	c.used[taskKey(t.job.spec.Ref, t.index, t.attempt)] = t.m
+	if c.on[key] == nil {
+		c.on[key] = map[*task]bool{}
+	}
+	c.on[key][t] = true
+	s := &t.job.spec
+	if !s.AllowsType(t.m.typ) || (s.Zone != "" && s.Zone != t.m.zone) || (t.m.spot && !s.Spot) {
+		c.fail("wrong_place: %s on %s (%s, %s, spot %v)", key, t.m.name, t.m.typ, t.m.zone, t.m.spot)
+	}
+	if !t.job.accepted && c.w.store.items["j/"+s.Ref] == nil && c.w.store.items["f/"+s.Ref] == nil {
+		c.fail("%s starts, but its job isn't stored", key)
+	}
+	c.zones(t)
+	c.quota(s.Team)
+	if t.job.told == pipeline.Cancelled && c.w.now.Sub(t.job.cancelTold) > c.w.o.Cancel {
+		c.fail("ran_cancelled: %s starts", key)
+	}
+}
+
+func (c *checker) each(fn func(*task)) {
+	for _, ts := range c.on {
+		for t := range ts {
+			fn(t)
+		}
+	}
+}
+
+func (c *checker) zones(t *task) {
+	s := &t.job.spec
+	here, other := 0, 0
+	c.each(func(o *task) {
+		if o.job == t.job {
+			if o.m.zone == t.m.zone {
+				here++
+			} else {
+				other++
+			}
+		}
+	})
+	if s.OneZone && other > 0 {
+		c.fail("wrong_place: %s in %s while others are elsewhere", name(t), t.m.zone)
+	}
+	if s.Spread && here > (s.Tasks+1)/2 {
+		c.fail("wrong_place: %d of %d tasks of %s in %s", here, s.Tasks, s.Ref, t.m.zone)
+	}
+}
+
+func (c *checker) quota(team string) {
+	var cpus, gpus float64
+	c.each(func(o *task) {
+		if o.job.spec.Team == team {
+			cpus, gpus = cpus+o.job.spec.CPUs, gpus+o.job.spec.GPUs
+		}
+	})
+	if !c.w.teams[team].Within(cpus, gpus) {
+		c.fail("quota: %s uses %g CPUs and %g GPUs", team, cpus, gpus)
+	}
+}
+
+func (c *checker) left(t *task) { delete(c.on[name(t)], t) }
+
+// stored looks at each change to the store: a job over is never taken back.
+func (c *checker) stored(changes []wire.Change) {
+	for _, ch := range changes {
+		ref, ok := strings.CutPrefix(ch.Put, "f/")
+		if !ok {
+			continue
+		}
+		var f pipeline.Final
+		if err := wire.Unmarshal(ch.V, &f); err != nil {
+			c.fail("final entry of %s: %v", ref, err)
+			return
+		}
+		if j := c.w.jobs[ref]; f.Phase == pipeline.Done && j != nil && len(j.done) != j.spec.Tasks {
+			c.fail("not_done: %s is stored as done with %d of %d tasks", ref, len(j.done), j.spec.Tasks)
+		}
+	}
+}
+
+// told checks an answer to a user: forgotten, invented, not_done, went_back.
+func (c *checker) told(j *userJob, v core.JobView, known bool) {
+	ref := j.spec.Ref
+	switch {
+	case !known:
+		c.fail("forgotten: %s", ref)
+	case v.Phase == pipeline.Done && len(j.done) != j.spec.Tasks:
+		c.fail("not_done: %s has %d of %d tasks", ref, len(j.done), j.spec.Tasks)
+	case j.told != pipeline.Active && v.Phase != j.told:
+		c.fail("went_back: %s from %v to %v", ref, j.told, v.Phase)
+	case v.Phase == pipeline.Cancelled && !j.wantsCancel:
+		c.fail("went_back: %s cancelled by nobody", ref)
+	}
+	if v.Phase == pipeline.Cancelled && j.told != pipeline.Cancelled {
+		j.cancelTold = c.w.now
+		c.w.after(c.w.o.Cancel, func() {
+			c.each(func(t *task) {
+				if t.job == j {
+					c.fail("ran_cancelled: %s is on %s", name(t), t.m.name)
+				}
+			})
+		})
+	}
+	j.told = v.Phase
+}
+
+// atEnd checks that after the drain nothing accepted was left undone.
+func (c *checker) atEnd() error {
+	if c.started == 0 {
+		return errors.New("nothing_ran")
+	}
+	for _, j := range c.w.jobs {
+		if j.accepted && !j.mistake && j.told == pipeline.Active && j.spec.Shape != pipeline.Service {
+			return fmt.Errorf("seed %d: job %s never came to an end: %+v", c.w.o.Seed, j.spec.Ref, j.spec)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"gingertally/internal/core"
+)
+
+// cloudSim is the cloud: machines, a capacity for each offer, and a list that lags.
+type cloudSim struct {
+	w        *World
+	made     int
+	answered map[string][]string
+	down     bool
+	history  []snapshot
+}
+
+type snapshot struct {
+	at   time.Time
+	list []core.ListedMachine
+}
+
+// maxOffer is the capacity of each type, zone and kind.
+const maxOffer = 3
+
+func (c *cloudSim) create(typ, zone string, spot bool, boot time.Duration) string {
+	name := fmt.Sprintf("m-%06d", c.made)
+	c.made++
+	m := &machine{w: c.w, name: name, typ: typ, zone: zone, spot: spot, born: c.w.now,
+		rate: 1 + (c.w.rng.Float64()-0.5)*0.001, images: map[string]bool{}, tasks: map[string]*task{}}
+	c.w.machines[name] = m
+	c.w.after(boot, m.up)
+	return name
+}
+
+func (c *cloudSim) rent(r core.Rent) (names []string, refused, ok bool) {
+	if c.down {
+		return nil, false, false
+	}
+	if got, known := c.answered[r.Name]; known {
+		return got, false, true
+	}
+	have := 0
+	for _, m := range c.w.machines {
+		if m.typ == r.Type && m.zone == r.Zone && m.spot == r.Spot {
+			have++
+		}
+	}
+	n := min(r.Count, maxOffer-have)
+	if n <= 0 {
+		return nil, true, true
+	}
+	boot := c.w.catalog[r.Type].Boot
+	for range n {
+		d := time.Duration(float64(boot) * (0.6 + c.w.rng.Float64()))
+		if c.w.chance(0.05) {
+			d = time.Hour // never comes up
+		}
+		names = append(names, c.create(r.Type, r.Zone, r.Spot, d))
+	}
+	c.answered[r.Name] = names
+	return names, false, true
+}
+
+// release deletes machines; they and all on them are gone at once.
+func (c *cloudSim) release(names []string) bool {
+	if c.down {
+		return false
+	}
+	for _, n := range names {
+		if m := c.w.machines[n]; m != nil {
+			m.die()
+		}
+	}
+	return true
+}
+
+func (c *cloudSim) snapshot() {
+	s := snapshot{at: c.w.now}
+	for _, m := range c.w.machines {
+		st := core.ListRunning
+		if !m.isUp {
+			st = core.ListStarting
+		}
+		s.list = append(s.list, core.ListedMachine{Name: m.name, Addr: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot,
+			Status: st, Held: c.w.now.Sub(m.born)})
+	}
+	sort.Slice(s.list, func(i, k int) bool { return s.list[i].Name < s.list[k].Name })
+	c.history = append(c.history, s)
+	if len(c.history) > 20 {
+		c.history = c.history[1:]
+	}
+}
+
+// list returns the list as it was some time ago.
+func (c *cloudSim) list() ([]core.ListedMachine, bool) {
+	c.snapshot()
+	if c.down {
+		return nil, false
+	}
+	at := c.w.now.Add(-c.w.between(0, 4*time.Second))
+	for i := len(c.history) - 1; i >= 0; i-- {
+		if !c.history[i].at.After(at) {
+			return c.history[i].list, true
+		}
+	}
+	return nil, true
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,387 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/leadership"
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// node is a controller: the real core and job store round a simulated shell.
+type node struct {
+	w          *World
+	name       string
+	rate       float64 // of its steady clock
+	life       int     // rises with each end of the process
+	down       bool
+	noStore    bool // cut off from the state service
+	noWorkers  bool // cut off from the workers
+	eng        *core.Engine
+	term       leadership.Term
+	lease      int // the lease that its right stands on
+	until      time.Time
+	writing    bool
+	claimTried bool
+}
+
+var bg = context.Background()
+
+// local is the node's steady clock.
+func (n *node) local() time.Time {
+	return n.w.start.Add(time.Duration(float64(n.w.now.Sub(n.w.start)) * n.rate))
+}
+
+func (n *node) entitled() bool { return !n.down && n.eng != nil && n.local().Before(n.until) }
+
+// boot starts the process; its loops end with it.
+func (n *node) boot() {
+	n.life++
+	n.down, n.eng, n.writing, n.until = false, nil, false, time.Time{}
+	n.loop(n.life, n.w.o.LeaseTTL/4, n.lead)
+	n.loop(n.life, 200*time.Millisecond, n.tick)
+	n.loop(n.life, 2*time.Second, n.list)
+}
+
+func (n *node) loop(life int, every time.Duration, fn func()) {
+	n.w.after(n.w.between(every/2, every), func() {
+		if n.life == life && !n.down {
+			fn()
+			n.loop(life, every, fn)
+		}
+	})
+}
+
+func (n *node) crash(back time.Duration) {
+	n.down, n.eng = true, nil
+	n.life++
+	n.w.after(back, n.boot)
+}
+
+// call sends something to the state service or the cloud: it may be lost on
+// the way, executed late, or its answer lost.
+func (n *node) call(at func(), answer func()) {
+	w, life := n.w, n.life
+	if n.noStore {
+		if w.chance(0.3) { // held back, and delivered when the cut is over
+			w.after(w.between(time.Second, 20*time.Second), at)
+		}
+		return
+	}
+	there, back := w.between(time.Millisecond, 30*time.Millisecond), w.between(time.Millisecond, 30*time.Millisecond)
+	lost := false
+	if !w.noNet && w.o.Faults {
+		if w.chance(0.01) {
+			there += w.between(0, 10*time.Second)
+		}
+		lost = w.chance(0.01)
+	}
+	w.after(there, func() {
+		at()
+		if !lost {
+			w.after(back, func() {
+				if n.life == life && !n.down {
+					answer()
+				}
+			})
+		}
+	})
+}
+
+// callTimeout is when a node takes a call for unanswered.
+const callTimeout = 1500 * time.Millisecond
+
+// lead claims, or renews, the right to act.
+func (n *node) lead() {
+	w := n.w
+	sent := n.local()
+	if n.eng != nil {
+		lease, renewed, over := n.lease, false, false
+		n.call(func() {
+			switch {
+			case w.store.down:
+			case w.lease.alive(w.now, lease):
+				w.lease.until, renewed = w.now.Add(w.o.LeaseTTL), true
+			default:
+				over = true
+			}
+		}, func() {
+			switch {
+			case n.eng == nil || n.lease != lease:
+			case over:
+				n.eng = nil
+			case renewed:
+				n.prove(sent)
+			}
+		})
+		return
+	}
+	if n.claimTried && w.chance(0.5) {
+		n.claimTried = false
+		return
+	}
+	n.claimTried = true
+	var t leadership.Term
+	var lease int
+	n.call(func() {
+		if w.store.down || w.lease.held(w.now) {
+			return
+		}
+		var tv struct {
+			N uint64 `cbor:"n"`
+		}
+		it, found, _ := w.store.Get(bg, leadership.TermKey)
+		if found && wire.Unmarshal(it.V, &tv) != nil {
+			return
+		}
+		tv.N++
+		rev, err := w.store.Commit(bg, []wire.Condition{{Path: leadership.TermKey, Stamp: it.Stamp}},
+			[]wire.Change{{Put: leadership.TermKey, V: wire.MustMarshal(tv)}})
+		if err == nil {
+			w.lease.id++
+			w.lease.until = w.now.Add(w.o.LeaseTTL)
+			lease, t = w.lease.id, leadership.Term{N: tv.N, Stamp: rev}
+		}
+	}, func() {
+		if t.N != 0 && n.eng == nil {
+			n.elected(t, lease, sent)
+		}
+	})
+}
+
+// storeLease is the lease under the leader's key.
+type storeLease struct {
+	id    int
+	until time.Time
+}
+
+func (l *storeLease) held(now time.Time) bool { return now.Before(l.until) }
+
+func (l *storeLease) alive(now time.Time, id int) bool { return l.id == id && l.held(now) }
+
+func (n *node) prove(sent time.Time) {
+	if u := sent.Add(n.w.o.LeaseTTL - n.w.o.LeaseTTL/500 - 100*time.Millisecond); u.After(n.until) {
+		lapsed := !n.entitled()
+		n.until = u
+		if lapsed && n.entitled() {
+			n.step(core.Resumed{})
+		}
+	}
+}
+
+func (n *node) elected(t leadership.Term, lease int, sent time.Time) {
+	snap, _, err := n.w.jobstore.Snapshot(bg)
+	if err != nil {
+		return
+	}
+	n.term, n.lease, n.writing = t, lease, false
+	n.eng = core.New(n.local(), n.w.coreConfig(), t.N, snap, rand.New(rand.NewPCG(t.N, n.w.o.Seed)))
+	n.prove(sent)
+	n.step(core.Catalog{Types: n.w.catalog})
+}
+
+func (n *node) step(ev core.Event) core.Effects {
+	eff := n.eng.Step(n.local(), ev)
+	if n.w.Trace != nil {
+		for _, x := range eff.Notes {
+			n.w.Trace(n.w.now.Sub(n.w.start), n.name, x.Text, x.Args)
+		}
+	}
+	if eff.Deposed {
+		n.eng = nil
+		return core.Effects{}
+	}
+	for _, d := range eff.Direct {
+		n.w.sendOrders(n, d)
+	}
+	for _, r := range eff.Rent {
+		n.rent(r)
+	}
+	for _, names := range eff.Release {
+		n.release(names)
+	}
+	return eff
+}
+
+func (n *node) tick() {
+	if !n.entitled() {
+		return
+	}
+	n.step(core.Tick{})
+	n.write()
+}
+
+// write sends the next batch, one at a time.
+func (n *node) write() {
+	if n.writing || !n.entitled() {
+		return
+	}
+	batch := n.eng.Batch(n.local(), 8)
+	if len(batch) == 0 {
+		return
+	}
+	n.writing = true
+	eng, term := n.eng, n.term
+	n.step(core.Sending{Batch: batch})
+	var sent []core.Write
+	var rev uint64
+	err := statestore.ErrUnknown
+	answered := false
+	n.call(func() { sent, rev, err = n.w.jobstore.Apply(bg, term, batch) }, func() {
+		if !answered && n.eng == eng {
+			answered = true
+			n.written(batch, sent, rev, err)
+		}
+	})
+	life := n.life
+	n.w.after(callTimeout, func() {
+		if !answered && n.life == life && n.eng == eng {
+			answered = true
+			n.written(batch, batch, 0, statestore.ErrUnknown)
+		}
+	})
+}
+
+func (n *node) written(batch, sent []core.Write, rev uint64, err error) {
+	n.writing = false
+	if rest := batch[len(sent):]; len(rest) > 0 {
+		n.step(core.Written{Batch: rest})
+	}
+	if errors.Is(err, jobstore.ErrDeposed) {
+		n.eng = nil
+		return
+	}
+	if err == nil {
+		n.step(core.Written{Batch: sent, OK: true, Version: rev})
+		n.write()
+		return
+	}
+	seen := map[string]uint64{}
+	for _, wr := range sent {
+		switch wr.Kind {
+		case core.WriteMachine, core.DropMachine:
+			if v, err := n.w.jobstore.MachineVersion(bg, wr.Name); err == nil {
+				seen[wr.Name] = v
+			}
+		case core.WriteJob, core.WriteFinal:
+			n.refresh(wr.Name)
+		}
+	}
+	if n.eng != nil {
+		n.step(core.Written{Batch: sent, Seen: seen})
+	}
+}
+
+func (n *node) refresh(ref string) {
+	st, err := n.w.jobstore.Load(bg, ref)
+	if err != nil || !st.Found || n.eng == nil {
+		return
+	}
+	if st.Over {
+		n.step(core.JobFinal{Ref: ref, Final: st.Final})
+	} else {
+		n.step(core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}})
+	}
+}
+
+// storeChanged lets watches see changes to jobs.
+func (w *World) storeChanged(changes []wire.Change) {
+	for _, c := range changes {
+		ref, ok := strings.CutPrefix(c.Put, jobstore.JobPrefix)
+		if !ok {
+			continue
+		}
+		for _, n := range w.nodes {
+			if n.eng != nil {
+				w.watched(n, n.eng, ref, w.between(time.Millisecond, 200*time.Millisecond))
+			}
+		}
+	}
+	w.check.stored(changes)
+}
+
+// watched brings a change to a leader, once the state service can be reached.
+func (w *World) watched(n *node, eng *core.Engine, ref string, in time.Duration) {
+	w.after(in, func() {
+		switch {
+		case n.eng != eng:
+		case n.noStore || w.store.down:
+			w.watched(n, eng, ref, time.Second)
+		default:
+			n.refresh(ref)
+		}
+	})
+}
+
+func (n *node) list() {
+	if !n.entitled() {
+		return
+	}
+	eng := n.eng
+	list, ok := n.w.cloud.list()
+	n.w.after(n.w.between(50*time.Millisecond, 300*time.Millisecond), func() {
+		if ok && n.eng == eng && n.entitled() {
+			n.step(core.Listed{Machines: list})
+		}
+	})
+}
+
+func (n *node) rent(r core.Rent) {
+	eng := n.eng
+	n.w.after(n.w.between(50*time.Millisecond, 300*time.Millisecond), func() {
+		names, refused, ok := n.w.cloud.rent(r)
+		lost := n.w.o.Faults && !n.w.noNet && n.w.chance(0.1)
+		if n.eng == eng && n.eng != nil {
+			n.step(core.Rented{Rent: r, Machines: names, Refused: refused, Unknown: !ok || lost})
+		}
+	})
+}
+
+func (n *node) release(names []string) {
+	eng := n.eng
+	delay := n.w.between(50*time.Millisecond, 300*time.Millisecond)
+	if n.w.o.Faults && !n.w.noNet && n.w.chance(0.05) {
+		// The answer is lost, and the deletion happens at some later time.
+		n.w.after(n.w.between(time.Second, 20*time.Second), func() { n.w.cloud.release(names) })
+		n.w.after(4*time.Second, func() {
+			if n.eng == eng && n.eng != nil {
+				n.step(core.Released{Machines: names})
+			}
+		})
+		return
+	}
+	n.w.after(delay, func() {
+		ok := n.w.cloud.release(names)
+		if n.eng == eng && n.eng != nil {
+			n.step(core.Released{Machines: names, OK: ok})
+		}
+	})
+}
+
+// report serves a worker's report that has arrived; relayed ones come from
+// another node.
+func (n *node) report(r fleet.Report, relayed bool) (status int, reply core.Reply, leader *node) {
+	if n.entitled() {
+		eff := n.step(core.ReportIn{Report: r})
+		if eff.Reply == nil || !eff.Reply.OK || !n.entitled() {
+			return 503, reply, nil
+		}
+		return 200, *eff.Reply, nil
+	}
+	if relayed {
+		return 503, reply, nil
+	}
+	for _, o := range n.w.nodes {
+		if o != n && o.entitled() {
+			return 421, reply, o
+		}
+	}
+	return 503, reply, nil
+}
--- /dev/null
+++ b/internal/standin/random_test.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+func options(seed uint64, faults bool) Options {
+	return Options{Seed: seed, Length: 150 * time.Second, Drain: 250 * time.Second, Nodes: 3, Jobs: 14, Faults: faults,
+		Report: 3 * time.Second, Lease: 20 * time.Second, Cancel: 40 * time.Second, LeaseTTL: 3 * time.Second}
+}
+
+// TestPeace plays worlds without troubles: all jobs come to their end.
+func TestPeace(t *testing.T) {
+	for seed := range uint64(20) {
+		w := NewWorld(options(seed, false))
+		if err := w.Run(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestTroubles plays seeded worlds full of troubles, singly and together, and
+// holds every rule of PROTOCOL against each step.
+func TestTroubles(t *testing.T) {
+	started, done := 0, 0
+	for seed := range uint64(200) {
+		w := NewWorld(options(1000+seed, true))
+		if err := w.Run(); err != nil {
+			t.Error(err)
+			if testing.Short() {
+				return
+			}
+		}
+		started, done = started+w.Started(), done+w.Done()
+	}
+	if started < 5000 || done < 1000 {
+		t.Errorf("the worlds did too little to prove anything: %d starts, %d jobs done", started, done)
+	}
+}
+
+// TestSeed plays the one world of TestTroubles that STANDIN_SEED names, and
+// logs what its controllers say.
+func TestSeed(t *testing.T) {
+	seed, err := strconv.ParseUint(os.Getenv("STANDIN_SEED"), 10, 64)
+	if err != nil {
+		t.Skip("STANDIN_SEED names no seed")
+	}
+	w := NewWorld(options(seed, true))
+	w.Trace = func(at time.Duration, node, text string, args []any) {
+		t.Log(at.Seconds(), node, text, args)
+	}
+	if err := w.Run(); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,299 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/wire"
+)
+
+// userJob is a job as its user knows it.
+type userJob struct {
+	w           *World
+	spec        pipeline.Spec
+	run         time.Duration
+	mistake     bool
+	wantsCancel bool
+	accepted    bool
+	told        pipeline.Phase
+	cancelTold  time.Time
+	done        map[int]bool
+}
+
+// mates are the tasks of one attempt of a gang that haven't exited.
+func (j *userJob) mates(attempt uint64) []*task {
+	var out []*task
+	for _, m := range j.w.sortedMachines() {
+		for _, t := range m.sorted() {
+			if t.job == j && t.attempt == attempt && t.state != fleet.Exited {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
+
+func (w *World) sortedMachines() []*machine {
+	out := make([]*machine, 0, len(w.machines))
+	for _, m := range w.machines {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].name < out[k].name })
+	return out
+}
+
+func (w *World) planUsers() {
+	for i := range w.o.Jobs {
+		j := &userJob{w: w, done: map[int]bool{}, run: w.between(2*time.Second, 25*time.Second), mistake: w.chance(0.05)}
+		s := &j.spec
+		s.Ref = fmt.Sprintf("j-%06d", i*7919%100003)
+		s.Class, s.Team, s.Image, s.ImageGB = "c", "red", fmt.Sprintf("img-%d", w.rng.IntN(3)), 2
+		if w.chance(0.5) {
+			s.Team = "blue"
+		}
+		s.Tasks, s.CPUs, s.MemGB = 1+w.rng.IntN(5), 2, 4
+		if w.chance(0.3) {
+			s.GPUs = 1
+			s.Tasks = min(s.Tasks, 4)
+		}
+		switch k := w.rng.Float64(); {
+		case k < 0.3:
+			s.Shape = pipeline.Gang
+		case k < 0.4:
+			s.Shape, j.wantsCancel = pipeline.Service, true
+		}
+		s.Priority = pipeline.Priority(w.rng.IntN(4))
+		s.OneZone, s.Spread, s.Spot = w.chance(0.3), w.chance(0.2), w.chance(0.6)
+		if s.OneZone && s.Spread {
+			s.Spread = false
+		}
+		if w.chance(0.2) {
+			s.Zone, s.Spread = w.zones[w.rng.IntN(2)], false
+		}
+		if s.GPUs == 0 && w.chance(0.2) {
+			s.Types = []string{"small"}
+		}
+		s.Estimate = j.run
+		if w.chance(0.6) {
+			s.Checkpoint, s.Save = 3*time.Second, 2*time.Second
+		}
+		j.wantsCancel = j.wantsCancel || j.mistake || w.chance(0.2)
+		w.jobs[s.Ref] = j
+		w.after(w.between(0, w.o.Length*2/3), j.submit)
+	}
+	w.after(w.between(0, 5*time.Second), w.askUnknown)
+}
+
+// askUnknown asks about a job that nobody submitted.
+func (w *World) askUnknown() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if v, known, ok := n.view("j-999999"); ok && known {
+		w.check.fail("invented: unknown job is called %v", v.Phase)
+	}
+	w.after(7*time.Second, w.askUnknown)
+}
+
+func (j *userJob) anyNode() *node { return j.w.nodes[j.w.rng.IntN(len(j.w.nodes))] }
+
+func (j *userJob) submit() {
+	n := j.anyNode()
+	if n.down || n.noStore {
+		j.w.after(time.Second, j.submit)
+		return
+	}
+	answered := false
+	n.call(func() {
+		if err := j.w.jobstore.Create(bg, j.spec, j.w.now); err == nil || errors.Is(err, jobstore.ErrExists) {
+			answered = true
+		}
+	}, func() {
+		if answered {
+			j.accepted = true
+		}
+	})
+	j.w.after(j.w.between(time.Second, 3*time.Second), func() {
+		if !j.accepted {
+			j.submit()
+			return
+		}
+		j.poll()
+		if j.wantsCancel {
+			j.w.after(j.w.between(0, j.w.o.Length/3), j.cancel)
+		}
+	})
+}
+
+// view is what a node tells of a job: from its engine if it may, else from the
+// store. ok is false when it can't tell.
+func (n *node) view(ref string) (v core.JobView, known, ok bool) {
+	if n.down {
+		return v, false, false
+	}
+	if n.eng != nil {
+		if v, known := n.eng.Lookup(ref); known && n.entitled() {
+			return v, true, true
+		}
+	}
+	if n.noStore {
+		return v, false, false
+	}
+	st, err := n.w.jobstore.Load(bg, ref)
+	if err != nil {
+		return v, false, false
+	}
+	return core.JobView{Phase: st.Phase, Done: st.Done}, st.Found, true
+}
+
+func (j *userJob) poll() {
+	if v, known, ok := j.anyNode().view(j.spec.Ref); ok {
+		j.w.check.told(j, v, known)
+	}
+	j.w.after(j.w.between(2*time.Second, 5*time.Second), j.poll)
+}
+
+func (j *userJob) cancel() {
+	n := j.anyNode()
+	for _, o := range j.w.nodes {
+		if o.entitled() {
+			n = o // the leader serves cancellations
+		}
+	}
+	if n.down || n.noStore {
+		j.w.after(time.Second, j.cancel)
+		return
+	}
+	var st jobstore.State
+	var eng *core.Engine
+	got := false
+	n.call(func() {
+		guard := wire.Condition{Path: "nobody"}
+		if n.entitled() {
+			guard, eng = jobstore.UnderTerm(n.term), n.eng
+		} else if j.w.lease.held(j.w.now) {
+			return
+		}
+		var err error
+		st, err = j.w.jobstore.Cancel(bg, j.spec.Ref, n.local(), guard)
+		got = err == nil
+	}, func() {
+		if !got {
+			return
+		}
+		if eng != nil && n.eng == eng && !st.Over {
+			n.step(core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}})
+		}
+		j.w.check.told(j, core.JobView{Phase: st.Phase, Done: len(j.done)}, true)
+	})
+	j.w.after(callTimeout, func() {
+		if !got && eng != nil && n.eng == eng {
+			n.step(core.Doubt{Ref: j.spec.Ref})
+		}
+	})
+	j.w.after(3*time.Second, func() {
+		if j.told == pipeline.Active {
+			j.cancel()
+		}
+	})
+}
+
+// planFaults strews troubles over the world, singly and together.
+func (w *World) planFaults() {
+	for range 4 + w.rng.IntN(10) {
+		w.after(w.between(0, w.o.Length), w.trouble)
+	}
+	w.after(w.o.Length, func() {
+		w.noNet, w.store.down, w.cloud.down = true, false, false
+		for _, n := range w.nodes {
+			n.noStore, n.noWorkers = false, false
+		}
+		for _, m := range w.machines {
+			m.sick = false
+			clear(m.cut)
+		}
+	})
+}
+
+func (w *World) anyMachine() *machine {
+	ms := w.sortedMachines()
+	if len(ms) == 0 {
+		return nil
+	}
+	return ms[w.rng.IntN(len(ms))]
+}
+
+func (w *World) trouble() {
+	n, m := w.nodes[w.rng.IntN(len(w.nodes))], w.anyMachine()
+	long := w.between(2*time.Second, 40*time.Second)
+	switch w.rng.IntN(11) {
+	case 0:
+		n.crash(w.between(100*time.Millisecond, 6*time.Second))
+	case 1:
+		for _, n := range w.nodes {
+			n.crash(w.between(100*time.Millisecond, 6*time.Second))
+		}
+	case 2:
+		n.noStore = true
+		w.after(long, func() { n.noStore = false })
+	case 3:
+		n.noWorkers = true
+		w.after(long, func() { n.noWorkers = false })
+	case 4:
+		n.noStore, n.noWorkers = true, true
+		w.after(long, func() { n.noStore, n.noWorkers = false, false })
+	case 5:
+		w.outage(w.between(time.Second, 20*time.Second))
+	case 6:
+		w.cloud.down = true
+		w.after(long, func() { w.cloud.down = false })
+	case 7, 8:
+		if m != nil {
+			m.hungUntil = w.now.Add(long)
+		}
+	case 9:
+		if m != nil && m.isUp {
+			m.cut[n] = true
+			w.after(long, func() { m.cut[n] = false })
+		}
+	case 10:
+		w.harm(m)
+	}
+}
+
+// harm takes a machine back, lets it die or fall sick.
+func (w *World) harm(m *machine) {
+	if m == nil {
+		return
+	}
+	switch w.rng.IntN(3) {
+	case 0:
+		m.die()
+	case 1:
+		m.sick = true
+	case 2:
+		m.noticeAt = w.now.Add(w.between(3*time.Second, 12*time.Second))
+		w.after(m.noticeAt.Sub(w.now), m.die)
+		if m.isUp {
+			m.changed()
+		}
+	}
+}
+
+func (w *World) outage(d time.Duration) {
+	if w.store.down {
+		return
+	}
+	held := w.lease.held(w.now)
+	w.store.down = true
+	w.after(d, func() {
+		w.store.down = false
+		if held {
+			w.lease.until = w.now.Add(w.o.LeaseTTL) // all leases have their full time again
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,412 @@
+package standin
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// machine is a rented machine with its worker.
+type machine struct {
+	w           *World
+	name, typ   string
+	zone        string
+	spot        bool
+	born        time.Time
+	rate        float64
+	isUp, dead  bool
+	hungUntil   time.Time
+	sick        bool
+	noticeAt    time.Time
+	cut         map[*node]bool
+	session     uint64
+	seq, token  uint64
+	answered    time.Time // when the last answered report was sent, by its own clock
+	target      int
+	outstanding uint64 // the report that is waited for, 0: none
+	lastReport  time.Time
+	tasks       map[string]*task // by name and attempt
+	images      map[string]bool
+}
+
+type task struct {
+	m       *machine
+	job     *userJob
+	index   int
+	attempt uint64
+	state   fleet.TaskState
+	cause   fleet.Cause
+	saved   bool
+	onIt    bool // counts as being on the machine
+	gen     int  // outdates timers
+}
+
+func taskKey(ref string, index int, attempt uint64) string {
+	return fmt.Sprintf("%s/%05d/%d", ref, index, attempt)
+}
+
+func (m *machine) local() time.Time {
+	return m.w.start.Add(time.Duration(float64(m.w.now.Sub(m.w.start)) * m.rate))
+}
+
+// later runs fn on the machine: not while it hangs, and not after its end.
+func (m *machine) later(d time.Duration, fn func()) {
+	m.w.after(d, func() {
+		if m.dead {
+			return
+		}
+		if m.w.now.Before(m.hungUntil) {
+			m.later(m.hungUntil.Sub(m.w.now)+m.w.between(0, 100*time.Millisecond), fn)
+			return
+		}
+		fn()
+	})
+}
+
+func (m *machine) up() {
+	if m.dead {
+		return
+	}
+	m.isUp, m.session, m.answered = true, 1, m.local()
+	m.target = m.w.rng.IntN(len(m.w.nodes))
+	m.cut = map[*node]bool{}
+	m.leaseLoop()
+	m.reportLoop()
+}
+
+func (m *machine) leaseLoop() {
+	if m.dead {
+		return
+	}
+	if m.local().Sub(m.answered) > m.w.o.Lease {
+		for _, t := range m.sorted() {
+			m.remove(t)
+		}
+		m.session++
+		m.outstanding = 0
+		m.answered = m.local()
+		m.report()
+	}
+	// A hanging machine may go on within its lease only (PROTOCOL), so this
+	// clock runs while it hangs.
+	m.w.after(250*time.Millisecond, m.leaseLoop)
+}
+
+func (m *machine) reportLoop() {
+	every := m.w.o.Report
+	m.later(m.w.between(every*3/4, every*5/4), func() {
+		m.report()
+		m.reportLoop()
+	})
+}
+
+// changed reports soon, but no more often than every half second.
+func (m *machine) changed() {
+	wait := max(0, 500*time.Millisecond-m.w.now.Sub(m.lastReport))
+	m.later(wait, m.report)
+}
+
+func (m *machine) sorted() []*task {
+	var out []*task
+	for _, t := range m.tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		return taskKey(out[i].job.spec.Ref, out[i].index, out[i].attempt) < taskKey(out[k].job.spec.Ref, out[k].index, out[k].attempt)
+	})
+	return out
+}
+
+func (m *machine) snapshot() fleet.Report {
+	m.seq++
+	r := fleet.Report{Machine: m.name, Addr: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq,
+		Token: m.token, Notice: -1}
+	if !m.noticeAt.IsZero() {
+		r.Notice = max(0, m.noticeAt.Sub(m.w.now))
+	}
+	for _, t := range m.sorted() {
+		r.Tasks = append(r.Tasks, fleet.TaskReport{Ref: t.job.spec.Ref, Task: t.index, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+// answerWithin is how long a worker waits for the response to a report.
+const answerWithin = 4 * time.Second
+
+func (m *machine) report() {
+	if m.outstanding != 0 || m.w.now.Sub(m.lastReport) < 400*time.Millisecond {
+		return
+	}
+	m.lastReport = m.w.now
+	r := m.snapshot()
+	m.outstanding = r.Seq
+	sent := m.local()
+	n := m.w.nodes[m.target]
+	m.deliver(n, r, sent)
+	m.later(answerWithin, func() {
+		if m.outstanding == r.Seq {
+			m.next()
+		}
+	})
+}
+
+// next moves on to another node.
+func (m *machine) next() {
+	m.outstanding = 0
+	m.target = (m.target + 1) % len(m.w.nodes)
+	m.later(time.Second, m.report)
+}
+
+func (m *machine) blocked(n *node) bool { return n.down || n.noWorkers || m.cut[n] }
+
+func (m *machine) deliver(n *node, r fleet.Report, sent time.Time) {
+	w := m.w
+	delay := w.between(time.Millisecond, 20*time.Millisecond)
+	if m.blocked(n) {
+		if n.down || w.chance(0.5) {
+			return
+		}
+		delay = w.between(time.Second, 25*time.Second) // held back by the cut
+	} else if w.o.Faults && !w.noNet && w.chance(0.01) {
+		delay = w.between(0, 12*time.Second)
+	}
+	w.after(delay, func() {
+		if n.down {
+			return
+		}
+		status, reply, leader := n.report(r, false)
+		back := w.between(time.Millisecond, 20*time.Millisecond)
+		if status == 421 && w.chance(0.2) {
+			status, reply, _ = leader.report(r, true) // passed on by the node
+			back += 10 * time.Millisecond
+		}
+		if m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.01)) {
+			return
+		}
+		m.later(back, func() { m.response(r, sent, status, reply, leader) })
+	})
+}
+
+func (m *machine) response(r fleet.Report, sent time.Time, status int, reply core.Reply, leader *node) {
+	if m.outstanding != r.Seq || r.Session != m.session {
+		return // given up, or from an earlier session
+	}
+	m.outstanding = 0
+	switch status {
+	case 200:
+		if reply.Token < m.token {
+			return
+		}
+		higher := reply.Token > m.token
+		m.token = reply.Token
+		m.answered = sent
+		if m.execute(reply.Commands) || higher {
+			m.changed()
+		}
+	case 421:
+		for i, n := range m.w.nodes {
+			if n == leader {
+				m.target = i
+			}
+		}
+		m.later(m.w.between(0, 500*time.Millisecond), m.report)
+	default:
+		m.next()
+	}
+}
+
+// sendOrders takes direct commands to a worker, perhaps late.
+func (w *World) sendOrders(n *node, d core.Direct) {
+	m := w.machines[d.Machine]
+	if m == nil {
+		return
+	}
+	delay := w.between(time.Millisecond, 20*time.Millisecond)
+	if n.noWorkers || m.cut[n] || (w.o.Faults && !w.noNet && w.chance(0.05)) {
+		delay = w.between(0, 30*time.Second)
+	}
+	m.later(delay, func() {
+		if m.isUp && d.Token >= m.token && d.Session == m.session {
+			m.token = d.Token
+			m.seq++
+			if m.execute(d.Commands) {
+				m.changed()
+			}
+		}
+	})
+}
+
+// execute carries commands out in order; it tells whether any task changed.
+func (m *machine) execute(cmds []fleet.Command) bool {
+	changed := false
+	for _, c := range cmds {
+		t := m.tasks[taskKey(c.Ref, c.Task, c.Attempt)]
+		switch c.Op {
+		case fleet.Start:
+			if t == nil {
+				m.begin(c)
+				changed = true
+			}
+		case fleet.Stop:
+			if t != nil && t.state != fleet.Exited {
+				t.halt(c.Grace)
+				changed = true
+			}
+		case fleet.Forget:
+			if t != nil && t.state == fleet.Exited {
+				delete(m.tasks, taskKey(c.Ref, c.Task, c.Attempt))
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+func (m *machine) begin(c fleet.Command) {
+	j := m.w.jobs[c.Ref]
+	if j == nil {
+		m.w.check.fail("start of unknown job %s", c.Ref)
+		return
+	}
+	t := &task{m: m, job: j, index: c.Task, attempt: c.Attempt, state: fleet.Fetching}
+	var cpus, gpus, mem float64
+	for _, o := range m.tasks {
+		if o.state == fleet.Exited {
+			continue
+		}
+		s := &o.job.spec
+		cpus, gpus, mem = cpus+s.CPUs, gpus+s.GPUs, mem+s.MemGB
+		if o.job == j && o.index == t.index {
+			t.state, t.cause = fleet.Exited, fleet.CauseBusy
+		}
+	}
+	typ := m.w.catalog[m.typ]
+	if cpus+j.spec.CPUs > typ.CPUs || gpus+j.spec.GPUs > typ.GPUs || mem+j.spec.MemGB > typ.MemGB {
+		t.state, t.cause = fleet.Exited, fleet.CauseNoRoom
+	}
+	m.tasks[taskKey(c.Ref, c.Task, c.Attempt)] = t
+	if t.state == fleet.Exited {
+		return
+	}
+	fetch := m.w.between(time.Second, 8*time.Second)
+	if m.images[j.spec.Image] {
+		fetch = 0
+	}
+	t.timer(fetch, func() {
+		m.images[j.spec.Image] = true
+		t.land()
+	})
+}
+
+// timer runs fn unless the task changed meanwhile.
+func (t *task) timer(d time.Duration, fn func()) {
+	t.gen++
+	gen := t.gen
+	t.m.later(d, func() {
+		if t.gen == gen && t.state != fleet.Exited {
+			fn()
+		}
+	})
+}
+
+// land puts the task on its machine: its image is there.
+func (t *task) land() {
+	t.onIt = true
+	t.m.w.check.landed(t)
+	if t.job.spec.Shape != pipeline.Gang {
+		t.run()
+		return
+	}
+	t.state = fleet.WaitingForGang
+	t.timer(15*time.Second, func() { t.exit(fleet.CauseAlone, false) })
+	mates := t.job.mates(t.attempt)
+	if len(mates) < t.job.spec.Tasks {
+		return
+	}
+	for _, o := range mates {
+		if o.state != fleet.WaitingForGang {
+			return
+		}
+	}
+	for _, o := range mates {
+		o.run()
+	}
+}
+
+func (t *task) run() {
+	t.state = fleet.Running
+	t.m.changed()
+	switch {
+	case t.m.sick || t.job.mistake:
+		t.timer(time.Second, func() { t.exit(fleet.CauseError, false) })
+	case t.job.spec.Shape == pipeline.Array:
+		t.timer(t.job.run, func() { t.job.done[t.index] = true; t.exit(fleet.CauseDone, false) })
+	case t.job.spec.Shape == pipeline.Gang:
+		t.timer(t.job.run, func() {
+			for _, o := range t.job.mates(t.attempt) {
+				t.job.done[o.index] = true
+				o.exit(fleet.CauseDone, false)
+			}
+		})
+	}
+}
+
+func (t *task) halt(grace time.Duration) {
+	switch {
+	case t.state == fleet.Running && t.job.spec.Checkpoint > 0 && grace >= t.job.spec.Save:
+		t.state = fleet.Saving
+		t.timer(t.job.spec.Save, func() { t.exit(fleet.CauseStopped, true) })
+	case t.state == fleet.Saving && grace > 0:
+	default:
+		t.exit(fleet.CauseStopped, false)
+	}
+}
+
+func (t *task) exit(c fleet.Cause, saved bool) {
+	if t.state == fleet.Exited {
+		return
+	}
+	t.state, t.cause, t.saved = fleet.Exited, c, saved
+	t.off()
+	t.m.changed()
+}
+
+// off notes that the task is no longer on its machine; its gang notices.
+func (t *task) off() {
+	if t.onIt {
+		t.onIt = false
+		t.m.w.check.left(t)
+	}
+	if t.job.spec.Shape == pipeline.Gang && t.cause != fleet.CauseDone {
+		for _, o := range t.job.mates(t.attempt) {
+			if o.state == fleet.Running {
+				o.timer(2*time.Second, func() { o.exit(fleet.CauseMatesGone, false) })
+			}
+		}
+	}
+}
+
+func (m *machine) remove(t *task) {
+	t.gen++
+	delete(m.tasks, taskKey(t.job.spec.Ref, t.index, t.attempt))
+	if t.state != fleet.Exited {
+		t.state = fleet.Exited
+		t.off()
+	}
+}
+
+// die ends the machine and all on it.
+func (m *machine) die() {
+	if m.dead {
+		return
+	}
+	for _, t := range m.sorted() {
+		m.remove(t)
+	}
+	m.dead = true
+	delete(m.w.machines, m.name)
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,158 @@
+// Package standin plays the world around the service from its published
+// protocol: state service, cloud, workers and users in simulated time, with
+// faults, and a checker of PROTOCOL's rules that looks after every step. The
+// controllers in it run the real core and job store.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+	"gingertally/internal/jobstore"
+)
+
+// Options say what a world is like.
+type Options struct {
+	Seed     uint64
+	Length   time.Duration // troubles and users' calls end here
+	Drain    time.Duration // how long the world then goes on in peace
+	Nodes    int
+	Jobs     int
+	Faults   bool
+	Report   time.Duration
+	Lease    time.Duration
+	Cancel   time.Duration
+	LeaseTTL time.Duration // of the leaders' right
+}
+
+// World is a simulated deployment.
+type World struct {
+	o        Options
+	rng      *rand.Rand
+	start    time.Time
+	now      time.Time
+	queue    events
+	seq      int
+	store    *Store
+	jobstore *jobstore.Jobs
+	catalog  placement.Catalog
+	zones    []string
+	teams    map[string]placement.Team
+	nodes    []*node
+	cloud    *cloudSim
+	machines map[string]*machine
+	jobs     map[string]*userJob
+	check    *checker
+	lease    storeLease
+	// Trace, if set, gets what the controllers log.
+	Trace func(at time.Duration, node, text string, args []any)
+	noNet bool // peace: no losses and delays any more
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, k int) bool {
+	if !e[i].at.Equal(e[k].at) {
+		return e[i].at.Before(e[k].at)
+	}
+	return e[i].seq < e[k].seq
+}
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// NewWorld builds a deployment in which all is well so far.
+func NewWorld(o Options) *World {
+	w := &World{o: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), start: time.Unix(1_800_000_000, 0), zones: []string{"east", "west"},
+		machines: map[string]*machine{}, jobs: map[string]*userJob{}}
+	w.now = w.start
+	w.store = &Store{w: w, items: map[string]*item{}}
+	w.jobstore = jobstore.New(w.store)
+	w.catalog = placement.Catalog{
+		"small": {Name: "small", CPUs: 4, MemGB: 16, CacheGB: 10, FetchGBPerS: 0.5, Hourly: 1, SpotHour: 0.4, Boot: 8 * time.Second, Zones: w.zones},
+		"large": {Name: "large", CPUs: 16, GPUs: 4, MemGB: 64, CacheGB: 10, FetchGBPerS: 1, Hourly: 6, SpotHour: 2, Boot: 10 * time.Second, Zones: w.zones},
+	}
+	w.teams = map[string]placement.Team{"red": {CPUsMax: 20, GPUs: 2, GPUsMax: 4}, "blue": {CPUs: 8}}
+	w.check = newChecker(w)
+	w.cloud = &cloudSim{w: w, answered: map[string][]string{}}
+	for i := range o.Nodes {
+		n := &node{w: w, name: fmt.Sprintf("node-%d", i), rate: 1 + (w.rng.Float64()-0.5)*0.001}
+		w.nodes = append(w.nodes, n)
+		n.boot()
+	}
+	for range 4 {
+		w.cloud.create([]string{"small", "large"}[w.rng.IntN(2)], w.zones[w.rng.IntN(2)], false, 0)
+	}
+	w.planUsers()
+	if o.Faults {
+		w.planFaults()
+	}
+	return w
+}
+
+// after runs fn once some time has passed.
+func (w *World) after(d time.Duration, fn func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(max(d, 0)), w.seq, fn})
+}
+
+func (w *World) chance(p float64) bool { return w.rng.Float64() < p }
+
+func (w *World) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(w.rng.Int64N(int64(hi-lo)+1))
+}
+
+// Run plays the world to its end, or to the first broken rule.
+func (w *World) Run() error {
+	end := w.start.Add(w.o.Length + w.o.Drain)
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at.After(end) {
+			break
+		}
+		w.now = e.at
+		e.fn()
+		if err := w.check.broken; err != nil {
+			return fmt.Errorf("seed %d, %.3f s: %w", w.o.Seed, w.now.Sub(w.start).Seconds(), err)
+		}
+	}
+	return w.check.atEnd()
+}
+
+// Started tells how many tasks were started, Done how many jobs were seen done.
+func (w *World) Started() int { return w.check.started }
+
+// Done counts the jobs whose users were told that they are done.
+func (w *World) Done() int {
+	n := 0
+	for _, j := range w.jobs {
+		if j.told == pipeline.Done {
+			n++
+		}
+	}
+	return n
+}
+
+// coreConfig is the core's part of this world's settings.
+func (w *World) coreConfig() core.Config {
+	return core.Config{Teams: w.teams, Zones: w.zones, ReportEvery: w.o.Report, Lease: w.o.Lease, GangWait: 15 * time.Second,
+		GangPeers: 3 * time.Second, CancelWithin: w.o.Cancel, ListLag: 2 * time.Second, RestartLimit: 3,
+		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 200}
+}
--- a/internal/userapi/userapi.go
+++ b/internal/userapi/userapi.go
@@ -19,7 +19,6 @@
 type Jobs interface {
 	Create(ctx context.Context, spec pipeline.Spec, now time.Time) error
 	Load(ctx context.Context, ref string) (jobstore.State, error)
-	Cancel(ctx context.Context, ref string, now time.Time) (pipeline.Phase, error)
 }
 
 // Leader is the leader's view of jobs, here or on another node.
@@ -28,6 +27,9 @@
 	View(ref string) (v core.JobView, ok bool)
 	// Ask asks the leading node; ok is false if it can't be asked or doesn't know.
 	Ask(ctx context.Context, ref string) (v core.JobView, ok bool)
+	// Cancel cancels a job as the leader, or while nobody leads. Any other node
+	// would leave the leader telling users an older state.
+	Cancel(ctx context.Context, ref string) (pipeline.Phase, error)
 }
 
 // Service serves users.
@@ -37,8 +39,6 @@
 	Catalog func() placement.Catalog
 	Teams   map[string]placement.Team
 	Zones   []string
-	// Cancelled is told of a cancellation written here.
-	Cancelled func(ref string)
 }
 
 // Answer is the answer to a call; a nil body is none.
@@ -140,16 +140,13 @@
 	if !wire.ValidRef(ref) {
 		return Answer{Status: 404}
 	}
-	p, err := s.Jobs.Cancel(ctx, ref, time.Now())
+	p, err := s.Leader.Cancel(ctx, ref)
 	switch {
 	case errors.Is(err, jobstore.ErrUnknownJob):
 		return Answer{Status: 404}
 	case err != nil:
 		return later()
 	}
-	if p == pipeline.Cancelled && s.Cancelled != nil {
-		s.Cancelled(ref)
-	}
 	return Answer{Status: 200, Body: struct {
 		Ref    string `cbor:"ref"`
 		Status string `cbor:"status"`
