--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -101,12 +101,11 @@
 	return out
 }
 
-// usage is what of a team may be on machines.
+// usage is what of a team may be on machines, of jobs that are over too.
 func (e *Engine) usage(team string) (cpus, gpus float64) {
-	for ref, u := range e.use {
-		if j := e.jobs[ref]; j != nil && j.Team == team {
-			cpus += float64(u.attempts) * j.CPUs
-			gpus += float64(u.attempts) * j.GPUs
+	for _, u := range e.use {
+		if u.team == team && u.attempts > 0 {
+			cpus, gpus = cpus+u.cpus, gpus+u.gpus
 		}
 	}
 	return
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -58,9 +58,11 @@
 
 // jobUse counts what of a job may be on machines.
 type jobUse struct {
-	attempts int
-	running  int
-	zones    map[string]int
+	team       string
+	attempts   int
+	running    int
+	cpus, gpus float64
+	zones      map[string]int
 }
 
 // Reply answers a report.
@@ -194,7 +196,12 @@
 
 func (e *Engine) account(m *fleet.Machine, a *fleet.Attempt, by int) {
 	u := e.useOf(a.Ref)
+	if j := e.jobs[a.Ref]; j != nil {
+		u.team = j.Team
+	}
 	u.attempts += by
+	u.cpus += float64(by) * a.CPUs
+	u.gpus += float64(by) * a.GPUs
 	u.zones[m.Zone] += by
 	if u.attempts == 0 && e.jobs[a.Ref] == nil {
 		delete(e.use, a.Ref)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -187,6 +187,9 @@
 		case fleet.Live, fleet.Silent, fleet.Unheard:
 			e.watchSilence(now, m)
 		}
+		if m.Sick || m.Draining || m.State() == fleet.Silent {
+			e.withdrawUnsent(now, m)
+		}
 		if m.State() == fleet.Live && (m.Sick || m.Draining) && m.Busy() == 0 && !e.owesForget(m) {
 			e.release(now, m, "drained")
 		}
@@ -198,6 +201,17 @@
 	}
 }
 
+// withdrawUnsent takes back starts that haven't left from a machine that gets
+// no more of them; they would wait there for good.
+func (e *Engine) withdrawUnsent(now time.Time, m *fleet.Machine) {
+	for _, a := range sortedAttempts(m) {
+		if a.State() <= fleet.Recorded && !a.Inherit {
+			e.stop(now, m, a, 0)
+			e.gangBroken(now, a)
+		}
+	}
+}
+
 // goneMemory is how long the names of machines that are gone are kept, for
 // messages and lists that are late.
 const goneMemory = 15 * time.Minute
