--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,7 @@
 type Params struct {
 	Zones     []string  `json:"zones"`
 	Teams     []Team    `json:"teams"`
+	Aims      []Aim     `json:"objectives"`
 	Workers   Workers   `json:"workers"`
 	State     State     `json:"state"`
 	Cloud     Cloud     `json:"cloud"`
@@ -61,6 +62,14 @@
 	GPUsMax float64 `json:"gpus_max"`
 }
 
+// Aim says what is expected of a class of jobs. Kinds not known here are ignored.
+type Aim struct {
+	Kind   string  `json:"kind"`
+	Class  string  `json:"class"`
+	Within Seconds `json:"within_s"`
+	Times  float64 `json:"times"`
+}
+
 // Workers are the workers' timings.
 type Workers struct {
 	Report   Seconds `json:"report_s"`
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -44,7 +44,7 @@
 	var demand []capacity.Demand
 	looked := 0
 	b := &placement.Board{
-		Now: now, Jobs: e.ranked(),
+		Now: now, Jobs: e.ranked(now),
 		Team:    func(name string) placement.Team { return e.cfg.Teams[name] },
 		Usage:   e.usage,
 		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
@@ -53,6 +53,7 @@
 		Unmet: func(j *pipeline.Job, n int) {
 			demand = append(demand, capacity.Demand{Job: j, Tasks: n, Zones: e.useOf(j.Ref).zones})
 		},
+		EndOf: func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
 		Spent: func() bool {
 			looked++
 			return looked > e.cfg.RoundBudget || (spent != nil && spent())
@@ -92,15 +93,98 @@
 	return false
 }
 
-// ranked is the unfinished jobs in the order in which they may choose.
-func (e *Engine) ranked() []*pipeline.Job {
+// ranked is the unfinished jobs in the order in which they may choose: by
+// urgency, then by how soon they must start to keep an aim that can still be
+// kept. Jobs that keep failing come last.
+func (e *Engine) ranked(now time.Time) []*pipeline.Job {
 	out := append([]*pipeline.Job(nil), e.order...)
+	due := make(map[*pipeline.Job]time.Time, len(out))
+	for _, j := range out {
+		due[j] = e.dueStart(now, j)
+	}
 	sort.SliceStable(out, func(i, k int) bool {
-		return !out[i].HeldBack(e.cfg.RestartLimit) && out[k].HeldBack(e.cfg.RestartLimit)
+		a, b := out[i], out[k]
+		if x, y := a.HeldBack(e.cfg.RestartLimit), b.HeldBack(e.cfg.RestartLimit); x != y {
+			return y
+		}
+		if a.Priority != b.Priority {
+			return a.Priority < b.Priority
+		}
+		return due[a].Before(due[b])
 	})
 	return out
 }
 
+// noAim is the time to start that a job without aims is given; lateFactor is
+// how much later than its last aim a job counts that can keep none any more:
+// it lets those go first that can, but isn't put off for good.
+const (
+	noAim      = 5 * time.Minute
+	lateFactor = 2
+)
+
+// dueStart is when a job must have started to keep the next of its aims.
+func (e *Engine) dueStart(now time.Time, j *pipeline.Job) time.Time {
+	run := e.expectedRun(j)
+	var next, last time.Duration
+	since := now.Sub(j.Submitted)
+	for _, a := range e.cfg.Aims[j.Class] {
+		var d time.Duration
+		switch a.Kind {
+		case AimStart:
+			if j.Started {
+				continue
+			}
+			d = a.Within
+		case AimFinish:
+			d = a.Within - run
+		case AimDeadline:
+			if j.Deadline == 0 {
+				continue
+			}
+			d = time.Duration(float64(j.Deadline)*a.Times) - run
+		}
+		last = max(last, d)
+		if d >= since && (next == 0 || d < next) {
+			next = d
+		}
+	}
+	switch {
+	case next > 0:
+		return j.Submitted.Add(next)
+	case last > 0:
+		return j.Submitted.Add(lateFactor * last)
+	}
+	return j.Submitted.Add(noAim)
+}
+
+// expectedRun is how long a task of the job is expected to run: its owner's
+// estimate, corrected by what its class taught.
+func (e *Engine) expectedRun(j *pipeline.Job) time.Duration {
+	return time.Duration(float64(j.Estimate) * e.class(j.Class).ratio)
+}
+
+// overdue is how much longer a task is expected to run that has outrun its
+// expectation.
+const overdue = 15 * time.Second
+
+// endOf is when an attempt is expected to leave its machine.
+func (e *Engine) endOf(now time.Time, a *fleet.Attempt) time.Time {
+	j := e.jobs[a.Ref]
+	if j == nil || a.Stopping {
+		return now.Add(overdue)
+	}
+	from := a.RunStart
+	if from.IsZero() {
+		from = now.Add(5 * time.Second) // still fetching
+	}
+	end := from.Add(e.expectedRun(j))
+	if end.Before(now) {
+		end = now.Add(overdue)
+	}
+	return end
+}
+
 // usage is what of a team may be on machines, of jobs that are over too.
 func (e *Engine) usage(team string) (cpus, gpus float64) {
 	for _, u := range e.use {
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -17,6 +17,7 @@
 type Config struct {
 	Teams        map[string]placement.Team
 	Zones        []string
+	Aims         map[string][]Aim // by class of jobs
 	ReportEvery  time.Duration
 	Lease        time.Duration
 	GangWait     time.Duration
@@ -29,6 +30,23 @@
 	RoundBudget  int           // tasks looked at in one round of decisions
 }
 
+// AimKind is what an aim is about.
+type AimKind uint8
+
+// Kinds of aims.
+const (
+	AimStart    AimKind = iota // tasks started in time
+	AimFinish                  // jobs done in time
+	AimDeadline                // jobs done by their own deadline
+)
+
+// Aim is what the operators expect of a class of jobs.
+type Aim struct {
+	Kind   AimKind
+	Within time.Duration // of a start or finish
+	Times  float64       // of a deadline: so many times the job's own
+}
+
 // Engine is a leader's state for one term. It isn't safe for concurrent use.
 type Engine struct {
 	cfg      Config
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -136,8 +136,8 @@
 	Version   uint64
 	Tasks     []Task
 	counts    [3]int
-	Running   int // tasks reported as running, for display
-	Placed    bool
+	Running   int          // tasks reported as running, for display
+	Started   bool         // a task of it has run
 	dirty     map[int]bool // chunks to be written
 	BadOn     map[string]bool
 	cursor    int
@@ -205,7 +205,6 @@
 func (j *Job) Assign(i int, machine string, attempt uint64) {
 	j.moveTask(i, Assigned)
 	j.Tasks[i].Machine, j.Tasks[i].Attempt = machine, attempt
-	j.Placed = true
 }
 
 // Requeue notes that the attempt of an assigned task is gone without a result.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"gingertally/internal/core/fleet"
@@ -114,8 +115,12 @@
 	CPUs, GPUs, MemG float64
 	Room             int  // how many more attempts its record can hold
 	Future           bool // is booting: counts as coming, takes no tasks yet
+	reserved         *spare
 }
 
+// spare is what a reserved slot may still give to others.
+type spare struct{ cpus, gpus, mem float64 }
+
 // NewSlot makes the slot of a machine.
 func NewSlot(m *fleet.Machine, t *Type, maxEntries int) *Slot {
 	c, g, mem := m.Used()
@@ -126,6 +131,9 @@
 // Take books a task of the job.
 func (s *Slot) Take(sp *pipeline.Spec) {
 	s.CPUs, s.GPUs, s.MemG, s.Room = s.CPUs-sp.CPUs, s.GPUs-sp.GPUs, s.MemG-sp.MemGB, s.Room-1
+	if r := s.reserved; r != nil {
+		r.cpus, r.gpus, r.mem = r.cpus-sp.CPUs, r.gpus-sp.GPUs, r.mem-sp.MemGB
+	}
 }
 
 // Allowed tells whether the job may use the slot's type, zone and kind.
@@ -135,7 +143,11 @@
 
 // Free is how many tasks of the job the slot still takes.
 func (s *Slot) Free(sp *pipeline.Spec) int {
-	return min(HowMany(s.CPUs, s.GPUs, s.MemG, sp), s.Room)
+	n := min(HowMany(s.CPUs, s.GPUs, s.MemG, sp), s.Room)
+	if r := s.reserved; r != nil {
+		n = min(n, HowMany(r.cpus, r.gpus, r.mem, sp))
+	}
+	return n
 }
 
 // Share is the part of a machine of the type that a task takes of its scarcest resource.
@@ -197,6 +209,7 @@
 	Busy    func(ref string) int
 	Commit  func(Decision)
 	Unmet   func(j *pipeline.Job, tasks int)
+	EndOf   func(a *fleet.Attempt) time.Time
 	Spent   func() bool
 }
 
@@ -295,6 +308,7 @@
 				continue
 			}
 			blocked = true
+			b.reserve(j, b.InZones(j.Ref))
 		}
 		unmet++
 		room--
@@ -328,9 +342,61 @@
 			return
 		}
 	}
+	if n == 1 {
+		b.reserve(j, nil)
+	}
 	b.Unmet(j, n)
 }
 
+// largeShare is the part of a machine from which a task counts as large: small
+// ones that come later would go on filling the room that it waits for.
+const largeShare = 0.3
+
+// reserve keeps the slot where a large task will fit the soonest from giving
+// that room to jobs that come later in the order.
+func (b *Board) reserve(j *pipeline.Job, zones map[string]int) {
+	var best *Slot
+	var soonest time.Time
+	var left spare
+	for _, s := range b.Slots {
+		if s.Future || s.reserved != nil || !s.Allowed(&j.Spec) || Share(s.Type, &j.Spec) < largeShare || !s.Type.Fits(&j.Spec) ||
+			ZoneRoom(j, s.Zone, zones) < 1 || j.BadOn[s.Machine.Name] {
+			continue
+		}
+		if at, rest := b.roomAt(s, &j.Spec); best == nil || at.Before(soonest) {
+			best, soonest, left = s, at, rest
+		}
+	}
+	if best != nil {
+		best.reserved = &left
+	}
+}
+
+// roomAt is when a slot will have room for a task, and what will then be left.
+func (b *Board) roomAt(s *Slot, sp *pipeline.Spec) (time.Time, spare) {
+	var ends []*fleet.Attempt
+	for _, a := range s.Machine.Tasks {
+		if a.State() != fleet.Exited {
+			ends = append(ends, a)
+		}
+	}
+	sort.Slice(ends, func(i, k int) bool {
+		x, y := b.EndOf(ends[i]), b.EndOf(ends[k])
+		if x.Equal(y) {
+			return ends[i].Number < ends[k].Number
+		}
+		return x.Before(y)
+	})
+	at, free := b.Now, spare{s.CPUs, s.GPUs, s.MemG}
+	for _, a := range ends {
+		if HowMany(free.cpus, free.gpus, free.mem, sp) > 0 {
+			break
+		}
+		at, free = b.EndOf(a), spare{free.cpus + a.CPUs, free.gpus + a.GPUs, free.mem + a.MemGB}
+	}
+	return at, spare{free.cpus - sp.CPUs, free.gpus - sp.GPUs, free.mem - sp.MemGB}
+}
+
 func (b *Board) zoneNames() []string {
 	var out []string
 	seen := map[string]bool{}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -123,6 +123,9 @@
 		return
 	}
 	e.moveAttempt(now, m, a, t.State)
+	if j := e.jobs[t.Ref]; j != nil && t.State == fleet.Running {
+		j.Started = true
+	}
 }
 
 // adopt takes in a reported attempt that nothing here speaks of.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,7 +61,7 @@
 	p := &cfg.Params
 	d := &Daemon{cfg: cfg, started: time.Now()}
 	d.core = core.Config{
-		Teams: map[string]placement.Team{}, Zones: p.Zones,
+		Teams: map[string]placement.Team{}, Zones: p.Zones, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
 		GangWait: p.Workers.GangWait.Duration(), GangPeers: p.Workers.GangPeer.Duration(),
 		CancelWithin: p.Workers.Cancel.Duration(), ListLag: p.Cloud.ListLag.Duration(),
@@ -91,6 +91,24 @@
 	return d, nil
 }
 
+// aims are the operators' aims on starting and finishing, by class.
+func aims(in []config.Aim) map[string][]core.Aim {
+	kinds := map[string]core.AimKind{"wait": core.AimStart, "finished": core.AimFinish, "deadline": core.AimDeadline}
+	out := map[string][]core.Aim{}
+	for _, a := range in {
+		k, known := kinds[a.Kind]
+		if !known {
+			continue
+		}
+		times := a.Times
+		if times <= 0 {
+			times = 1
+		}
+		out[a.Class] = append(out[a.Class], core.Aim{Kind: k, Within: a.Within.Duration(), Times: times})
+	}
+	return out
+}
+
 // Run serves until ctx ends or something that can't be repaired fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(d.cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
