--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -225,12 +225,13 @@
 // recentClass is how long a class of jobs counts as one that may come again.
 const recentClass = 4 * time.Minute
 
-// idleUseless is how long a machine is kept that no recent class of jobs fits;
-// idleUseful is the least time for others, which grows with the boot time that
-// giving one back too early would cost.
+// idleUseless is how long a machine is kept that no recent class of jobs fits.
+// Others are kept for idleUseful and as long as idleDollars pay for: being
+// there spares a job the boot time, whatever the machine costs.
 const (
 	idleUseless = 10 * time.Second
-	idleUseful  = 30 * time.Second
+	idleUseful  = 10 * time.Second
+	idleDollars = 0.1
 )
 
 // giveBack releases machines that have been idle too long.
@@ -245,7 +246,7 @@
 		}
 		keep := idleUseless
 		if e.useful(now, m, t) {
-			keep = idleUseful + t.Boot
+			keep = idleUseful + time.Duration(idleDollars/max(t.Price(m.Spot), 0.01)*float64(time.Hour))
 		}
 		if now.Sub(m.IdleSince) > keep {
 			e.release(now, m, "idle")
