--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -91,6 +91,9 @@
 			g.add(t, o, n)
 		}
 	}
+	for _, s := range slots {
+		s.Unreserve()
+	}
 	for _, d := range demand {
 		g.meet(d)
 	}
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -125,7 +125,7 @@
 
 // dueStart is when a job must have started to keep the next of its aims.
 func (e *Engine) dueStart(now time.Time, j *pipeline.Job) time.Time {
-	run := e.expectedRun(j)
+	run, fetch := e.expectedRun(j), e.expectedFetch(j)
 	var next, last time.Duration
 	since := now.Sub(j.Submitted)
 	for _, a := range e.cfg.Aims[j.Class] {
@@ -144,6 +144,7 @@
 			}
 			d = time.Duration(float64(j.Deadline)*a.Times) - run
 		}
+		d -= fetch
 		last = max(last, d)
 		if d >= since && (next == 0 || d < next) {
 			next = d
@@ -164,6 +165,23 @@
 	return time.Duration(float64(j.Estimate) * e.class(j.Class).ratio)
 }
 
+// expectedFetch is how long the job's image takes to fetch, on the mean of the
+// types that it may use.
+func (e *Engine) expectedFetch(j *pipeline.Job) time.Duration {
+	var rate float64
+	n := 0
+	for _, t := range e.catalog {
+		if j.AllowsType(t.Name) && t.FetchGBPerS > 0 && t.Fits(&j.Spec) {
+			rate += t.FetchGBPerS
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(j.ImageGB / (rate / float64(n)) * float64(time.Second))
+}
+
 // overdue is how much longer a task is expected to run that has outrun its
 // expectation.
 const overdue = 15 * time.Second
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -136,6 +136,10 @@
 	}
 }
 
+// Unreserve lifts a round's reservation, for planning in which the job that the
+// room is kept for is booked itself.
+func (s *Slot) Unreserve() { s.reserved = nil }
+
 // Allowed tells whether the job may use the slot's type, zone and kind.
 func (s *Slot) Allowed(sp *pipeline.Spec) bool {
 	return sp.AllowsType(s.Type.Name) && (sp.Zone == "" || sp.Zone == s.Zone) && (sp.Spot || !s.Spot)
