--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -53,7 +53,10 @@
 		Unmet: func(j *pipeline.Job, n int) {
 			demand = append(demand, capacity.Demand{Job: j, Tasks: n, Zones: e.useOf(j.Ref).zones})
 		},
-		EndOf: func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
+		EndOf:   func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
+		Due:     func(j *pipeline.Job) time.Time { return e.dueStart(now, j) },
+		MayStop: func(by *pipeline.Job, a *fleet.Attempt) (float64, bool) { return e.mayStop(now, by, a) },
+		Stop:    func(a *fleet.Attempt) { e.preempt(now, a) },
 		Spent: func() bool {
 			looked++
 			return looked > e.cfg.RoundBudget || (spent != nil && spent())
@@ -84,6 +87,56 @@
 	e.giveBack(now, demand)
 }
 
+// mayStop holds the protocol's rules of preemption: for a job of higher
+// priority, or to give a team its guarantee at the expense of one that is beyond
+// its own. The cost is the delay of saving and the work that is lost.
+func (e *Engine) mayStop(now time.Time, by *pipeline.Job, a *fleet.Attempt) (float64, bool) {
+	j := e.jobs[a.Ref]
+	if j == nil || (j.Shape == pipeline.Gang && len(j.Tasks) > 1) || a.Foreign || a.State() == fleet.Saving {
+		return 0, false
+	}
+	if by.Priority >= j.Priority && !e.owed(by, j) {
+		return 0, false
+	}
+	cost := 10 + j.Save.Seconds()
+	if a.State() == fleet.Running {
+		ran := now.Sub(a.RunStart)
+		if j.Checkpoint == 0 {
+			cost += ran.Seconds()
+		}
+		if e.expectedRun(j)-ran < j.Save+5*time.Second {
+			return 0, false // as good as done
+		}
+	}
+	return cost, true
+}
+
+// owed tells whether a job's team is within its guarantee with one more task,
+// and the other job's team beyond its own.
+func (e *Engine) owed(by, j *pipeline.Job) bool {
+	if by.Team == j.Team {
+		return false
+	}
+	t, o := e.cfg.Teams[by.Team], e.cfg.Teams[j.Team]
+	c, g := e.usage(by.Team)
+	oc, og := e.usage(j.Team)
+	within := c+by.CPUs <= t.CPUs || (by.GPUs > 0 && g+by.GPUs <= t.GPUs)
+	beyond := oc > o.CPUs || og > o.GPUs
+	return within && beyond
+}
+
+// preempt stops an attempt to make room.
+func (e *Engine) preempt(now time.Time, a *fleet.Attempt) {
+	j := e.jobs[a.Ref]
+	for _, m := range e.machines {
+		if m.Tasks[a.Key] == a {
+			e.note("preempted", "job", a.Ref, "task", a.Task, "machine", m.Name)
+			e.stopOrderly(now, m, a, j)
+			return
+		}
+	}
+}
+
 func hasForeign(m *fleet.Machine) bool {
 	for _, a := range m.Tasks {
 		if a.Foreign && a.State() != fleet.Exited {
@@ -189,7 +242,10 @@
 // endOf is when an attempt is expected to leave its machine.
 func (e *Engine) endOf(now time.Time, a *fleet.Attempt) time.Time {
 	j := e.jobs[a.Ref]
-	if j == nil || a.Stopping {
+	if a.Stopping {
+		return a.StopAt.Add(a.Grace + e.cfg.ReportEvery)
+	}
+	if j == nil {
 		return now.Add(overdue)
 	}
 	from := a.RunStart
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"gingertally/internal/core/fleet"
@@ -118,9 +117,6 @@
 	reserved         *spare
 }
 
-// spare is what a reserved slot may still give to others.
-type spare struct{ cpus, gpus, mem float64 }
-
 // NewSlot makes the slot of a machine.
 func NewSlot(m *fleet.Machine, t *Type, maxEntries int) *Slot {
 	c, g, mem := m.Used()
@@ -213,7 +209,12 @@
 	Busy    func(ref string) int
 	Commit  func(Decision)
 	Unmet   func(j *pipeline.Job, tasks int)
-	EndOf   func(a *fleet.Attempt) time.Time
+	EndOf   func(a *fleet.Attempt) time.Time // when an attempt is expected to leave
+	Due     func(j *pipeline.Job) time.Time  // when a job must start to keep its next aim
+	// MayStop tells whether an attempt may be stopped for a job, and what that
+	// would cost in seconds; Stop stops it.
+	MayStop func(by *pipeline.Job, a *fleet.Attempt) (cost float64, ok bool)
+	Stop    func(a *fleet.Attempt)
 	Spent   func() bool
 }
 
@@ -312,7 +313,7 @@
 				continue
 			}
 			blocked = true
-			b.reserve(j, b.InZones(j.Ref))
+			b.wait(j, b.InZones(j.Ref))
 		}
 		unmet++
 		room--
@@ -347,60 +348,11 @@
 		}
 	}
 	if n == 1 {
-		b.reserve(j, nil)
+		b.wait(j, nil)
 	}
 	b.Unmet(j, n)
 }
 
-// largeShare is the part of a machine from which a task counts as large: small
-// ones that come later would go on filling the room that it waits for.
-const largeShare = 0.3
-
-// reserve keeps the slot where a large task will fit the soonest from giving
-// that room to jobs that come later in the order.
-func (b *Board) reserve(j *pipeline.Job, zones map[string]int) {
-	var best *Slot
-	var soonest time.Time
-	var left spare
-	for _, s := range b.Slots {
-		if s.Future || s.reserved != nil || !s.Allowed(&j.Spec) || Share(s.Type, &j.Spec) < largeShare || !s.Type.Fits(&j.Spec) ||
-			ZoneRoom(j, s.Zone, zones) < 1 || j.BadOn[s.Machine.Name] {
-			continue
-		}
-		if at, rest := b.roomAt(s, &j.Spec); best == nil || at.Before(soonest) {
-			best, soonest, left = s, at, rest
-		}
-	}
-	if best != nil {
-		best.reserved = &left
-	}
-}
-
-// roomAt is when a slot will have room for a task, and what will then be left.
-func (b *Board) roomAt(s *Slot, sp *pipeline.Spec) (time.Time, spare) {
-	var ends []*fleet.Attempt
-	for _, a := range s.Machine.Tasks {
-		if a.State() != fleet.Exited {
-			ends = append(ends, a)
-		}
-	}
-	sort.Slice(ends, func(i, k int) bool {
-		x, y := b.EndOf(ends[i]), b.EndOf(ends[k])
-		if x.Equal(y) {
-			return ends[i].Number < ends[k].Number
-		}
-		return x.Before(y)
-	})
-	at, free := b.Now, spare{s.CPUs, s.GPUs, s.MemG}
-	for _, a := range ends {
-		if HowMany(free.cpus, free.gpus, free.mem, sp) > 0 {
-			break
-		}
-		at, free = b.EndOf(a), spare{free.cpus + a.CPUs, free.gpus + a.GPUs, free.mem + a.MemGB}
-	}
-	return at, spare{free.cpus - sp.CPUs, free.gpus - sp.GPUs, free.mem - sp.MemGB}
-}
-
 func (b *Board) zoneNames() []string {
 	var out []string
 	seen := map[string]bool{}
