--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -232,6 +232,13 @@
 	return false
 }
 
+// vanished tells whether the cloud no longer lists a machine that it did: hint
+// enough to release it before its worker's lease has ended, which proves all on
+// it gone. Machines that only hang stay listed, and are waited for.
+func (e *Engine) vanished(m *fleet.Machine) bool {
+	return !m.ListedAt.IsZero() && e.lastList.Sub(m.ListedAt) > 2*e.cfg.ListLag+4*time.Second
+}
+
 // silentAfter is when a machine that doesn't report gets no more starts: two
 // reports have then failed to arrive, with a change of node between them.
 func (e *Engine) silentAfter() time.Duration { return 2*e.cfg.ReportEvery + 5*time.Second }
@@ -242,6 +249,10 @@
 		e.note("machine silent", "machine", m.Name, "busy", m.Busy())
 		e.replan = true
 	}
+	if m.State() != fleet.Live && quiet > e.silentAfter() && e.vanished(m) {
+		e.release(now, m, fmt.Sprintf("silent for %s", quiet.Round(time.Second)))
+		return
+	}
 	if !m.LeaseOver(now, e.cfg.Lease) {
 		return
 	}
