--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -87,6 +87,7 @@
 type Reply struct {
 	OK       bool // 200; otherwise the report is refused with 503
 	Token    uint64
+	Hold     bool // worth holding for a moment, then to be completed by Collect
 	Commands []fleet.Command
 }
 
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -31,11 +31,29 @@
 	if !m.Newer(&rep) {
 		return // an old copy proves nothing and must not renew the lease
 	}
+	busy := m.Busy()
 	e.hear(now, m, &rep)
-	e.out.Reply = &Reply{OK: true, Token: e.term, Commands: e.commands(now, m)}
+	// Room has become free: a start decided now would otherwise wait for the
+	// worker's next report.
+	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: m.Busy() < busy && e.mayStart(m)}
+	if !e.out.Reply.Hold {
+		e.out.Reply.Commands = e.commands(now, m)
+	}
 	m.LeaseBase = now
 }
 
+// Collect completes the reply to a report that was held for a moment.
+type Collect struct{ Report fleet.Report }
+
+func (c Collect) apply(e *Engine, now time.Time) {
+	e.out.Reply = &Reply{}
+	m := e.machines[c.Report.Machine]
+	if m == nil || m.Session != c.Report.Session || m.Seq != c.Report.Seq {
+		return // a newer report has come; only its answer may start anything
+	}
+	e.out.Reply = &Reply{OK: true, Token: e.term, Commands: e.commands(now, m)}
+}
+
 // hear takes in a report that is newer than all before it.
 func (e *Engine) hear(now time.Time, m *fleet.Machine, r *fleet.Report) {
 	newSession := r.Session > m.Session
@@ -183,7 +201,7 @@
 			}
 			c.Op, c.Grace = fleet.Stop, a.Grace
 			stops = append(stops, c)
-		case st == fleet.Recorded && !a.Inherit && m.Confirmed && !m.Draining && !m.Sick && m.State() == fleet.Live:
+		case st == fleet.Recorded && !a.Inherit && e.mayStart(m):
 			c.Op = fleet.Start
 			a.SentSeq = m.Seq
 			e.moveAttempt(now, m, a, fleet.Sent)
@@ -195,6 +213,11 @@
 	return append(append(clears, stops...), starts...)
 }
 
+// mayStart tells whether a machine may be given starts.
+func (e *Engine) mayStart(m *fleet.Machine) bool {
+	return m.Confirmed && !m.Draining && !m.Sick && m.State() == fleet.Live
+}
+
 func (e *Engine) imageGB(ref string) float64 {
 	if j := e.jobs[ref]; j != nil {
 		return j.ImageGB
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -163,12 +163,20 @@
 			r.d.lead.Resign("no worker has reported")
 			continue
 		}
-		end := time.Now().Add(roundTime)
-		r.step(core.Tick{Spent: func() bool { return time.Now().After(end) }})
+		r.decide()
 	}
 	return r.ctx.Err()
 }
 
+func (r *reign) decide() {
+	end := time.Now().Add(roundTime)
+	r.step(core.Tick{Spent: func() bool { return time.Now().After(end) }})
+}
+
+// holdReply is how long the answer to a report that freed room is held, for the
+// store to take what is now placed there. Workers wait 4 s for an answer.
+const holdReply = 120 * time.Millisecond
+
 // writeLoop writes what the engine has to write, one transaction at a time.
 func (r *reign) writeLoop() error {
 	for {
@@ -296,6 +304,14 @@
 	}
 	r.hear()
 	eff := r.step(core.ReportIn{Report: rep})
+	if eff.Reply != nil && eff.Reply.Hold {
+		r.decide()
+		sleep(r.ctx, holdReply)
+		if !r.entitled() {
+			return core.Reply{}, false
+		}
+		eff = r.step(core.Collect{Report: rep})
+	}
 	if eff.Reply == nil || !r.entitled() {
 		return core.Reply{}, false
 	}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -366,10 +366,13 @@
 }
 
 // report serves a worker's report that has arrived; relayed ones come from
-// another node.
+// another node. Status 0: the leader holds the answer, see collect.
 func (n *node) report(r fleet.Report, relayed bool) (status int, reply core.Reply, leader *node) {
 	if n.entitled() {
 		eff := n.step(core.ReportIn{Report: r})
+		if eff.Reply != nil && eff.Reply.Hold {
+			return 0, reply, n
+		}
 		if eff.Reply == nil || !eff.Reply.OK || !n.entitled() {
 			return 503, reply, nil
 		}
@@ -385,3 +388,15 @@
 	}
 	return 503, reply, nil
 }
+
+// collect completes an answer that was held.
+func (n *node) collect(r fleet.Report, eng *core.Engine) (int, core.Reply) {
+	if !n.entitled() || n.eng != eng {
+		return 503, core.Reply{}
+	}
+	eff := n.step(core.Collect{Report: r})
+	if eff.Reply == nil || !eff.Reply.OK || !n.entitled() {
+		return 503, core.Reply{}
+	}
+	return 200, *eff.Reply
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -179,18 +179,31 @@
 			return
 		}
 		status, reply, leader := n.report(r, false)
-		back := w.between(time.Millisecond, 20*time.Millisecond)
 		if status == 421 && w.chance(0.2) {
-			status, reply, _ = leader.report(r, true) // passed on by the node
-			back += 10 * time.Millisecond
+			status, reply, leader = leader.report(r, true) // passed on by the node
 		}
-		if m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.01)) {
+		if status == 0 {
+			eng := leader.eng
+			leader.tick()
+			w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
+				status, reply := leader.collect(r, eng)
+				m.answer(n, r, sent, status, reply, nil)
+			})
 			return
 		}
-		m.later(back, func() { m.response(r, sent, status, reply, leader) })
+		m.answer(n, r, sent, status, reply, leader)
 	})
 }
 
+// answer sends a node's response back, if it gets through.
+func (m *machine) answer(n *node, r fleet.Report, sent time.Time, status int, reply core.Reply, leader *node) {
+	w := m.w
+	if m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.01)) {
+		return
+	}
+	m.later(w.between(time.Millisecond, 30*time.Millisecond), func() { m.response(r, sent, status, reply, leader) })
+}
+
 func (m *machine) response(r fleet.Report, sent time.Time, status int, reply core.Reply, leader *node) {
 	if m.outstanding != r.Seq || r.Session != m.session {
 		return // given up, or from an earlier session
