--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -186,6 +186,9 @@
 // fill books tasks of a job on slots and returns how many are left.
 func fill(j *pipeline.Job, left int, slots []*placement.Slot, zones map[string]int, only string) int {
 	for _, s := range slots {
+		if s.Machine != nil && j.BadOn[s.Machine.Name] {
+			continue // it won't be placed there again
+		}
 		for left > 0 && (only == "" || s.Zone == only) && s.Allowed(&j.Spec) && s.Free(&j.Spec) > 0 &&
 			placement.ZoneRoom(j, s.Zone, zones) > 0 {
 			s.Take(&j.Spec)
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -315,7 +315,7 @@
 	}
 	for _, m := range e.sortedMachines() {
 		t := e.catalog[m.Type]
-		if t == nil || m.State() != fleet.Live || len(m.Tasks) > 0 || !m.Confirmed {
+		if t == nil || m.State() != fleet.Live || len(m.Tasks) > 0 || !m.Confirmed || awaited(m, t, demand) {
 			continue
 		}
 		keep := idleUseless
@@ -328,6 +328,17 @@
 	}
 }
 
+// awaited tells whether waiting work could use the machine: a gang, say, that
+// still lacks room for some of its tasks.
+func awaited(m *fleet.Machine, t *placement.Type, demand []capacity.Demand) bool {
+	for _, d := range demand {
+		if s := placement.NewSlot(m, t, 1); s.Allowed(&d.Job.Spec) && t.Fits(&d.Job.Spec) && !d.Job.BadOn[m.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // useful tells whether jobs of a class seen of late could run on the machine.
 func (e *Engine) useful(now time.Time, m *fleet.Machine, t *placement.Type) bool {
 	for _, c := range e.classes {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -184,8 +184,9 @@
 
 // Image is an image that a machine is believed to have.
 type Image struct {
-	Name string
-	GB   float64
+	Name  string
+	GB    float64
+	Ready time.Time // when it is expected to be there
 }
 
 // NewMachine makes a machine in a first state.
@@ -304,44 +305,29 @@
 	}
 }
 
-// HasImage tells whether the machine is believed to hold an image.
-func (m *Machine) HasImage(name string) bool {
+// FetchLeft is how long until an image is expected to be there; one that isn't
+// being fetched yet shares the rate with those that are.
+func (m *Machine) FetchLeft(now time.Time, name string, gb, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	var queue time.Duration
 	for _, i := range m.Images {
+		left := max(0, i.Ready.Sub(now))
 		if i.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
-// FetchingGB is how much the machine is presently fetching.
-func (m *Machine) FetchingGB() float64 {
-	var gb float64
-	seen := map[string]bool{}
-	for _, a := range m.Tasks {
-		if a.state != Fetching && a.state != Sent && a.state != Recorded && a.state != Intended || seen[a.Image] {
-			continue
-		}
-		seen[a.Image] = true
-		for _, i := range m.Images {
-			if i.Name == a.Image {
-				gb += i.GB
-			}
+			return left
 		}
+		queue = max(queue, left)
 	}
-	return gb
+	return queue + time.Duration(gb/rate*float64(time.Second))
 }
 
 // UseImage notes that a task with an image was started; the cache keeps the
 // most recently used ones.
-func (m *Machine) UseImage(name string, gb, cacheGB float64) {
-	kept := m.Images[:0]
-	for _, i := range m.Images {
-		if i.Name != name {
-			kept = append(kept, i)
-		}
-	}
-	m.Images = append(kept, Image{name, gb})
+func (m *Machine) UseImage(now time.Time, name string, gb, cacheGB, rate float64) {
+	ready := now.Add(m.FetchLeft(now, name, gb, rate))
+	m.DropImage(name)
+	m.Images = append(m.Images, Image{name, gb, ready})
 	var total float64
 	for _, i := range m.Images {
 		total += i.GB
@@ -352,6 +338,15 @@
 	}
 }
 
+// ImageThere notes that a task past its fetch was seen.
+func (m *Machine) ImageThere(now time.Time, name string) {
+	for i := range m.Images {
+		if m.Images[i].Name == name && m.Images[i].Ready.After(now) {
+			m.Images[i].Ready = now
+		}
+	}
+}
+
 // DropImage notes that an image isn't there after all.
 func (m *Machine) DropImage(name string) {
 	kept := m.Images[:0]
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -43,12 +43,12 @@
 // Catalog holds the machine types by name.
 type Catalog map[string]*Type
 
-// Cache is the size of a type's image cache.
-func (c Catalog) Cache(typ string) float64 {
+// Images are the size of a type's image cache and its rate of fetching.
+func (c Catalog) Images(typ string) (cacheGB, gbPerS float64) {
 	if t := c[typ]; t != nil {
-		return t.CacheGB
+		return t.CacheGB, t.FetchGBPerS
 	}
-	return math.Inf(1)
+	return math.Inf(1), 0
 }
 
 // slack absorbs the rounding of sums of decimal amounts.
@@ -176,11 +176,11 @@
 // Score ranks slots for a task; the lowest is best. It adds up the time until
 // the image is there, what the place costs, and a little for untouched
 // machines, so that machines empty out.
-func Score(s *Slot, j *pipeline.Job) float64 {
+func Score(now time.Time, s *Slot, j *pipeline.Job) float64 {
 	sp := &j.Spec
 	score := (Share(s.Type, sp) + waste(s, sp)) * s.Type.Price(s.Spot) * secondsPerDollarHour
-	if s.Machine != nil && !s.Machine.HasImage(sp.Image) && s.Type.FetchGBPerS > 0 {
-		score += (sp.ImageGB + s.Machine.FetchingGB()) / s.Type.FetchGBPerS
+	if s.Machine != nil {
+		score += s.Machine.FetchLeft(now, sp.Image, sp.ImageGB, s.Type.FetchGBPerS).Seconds()
 	}
 	if s.Machine != nil && len(s.Machine.Tasks) == 0 {
 		score += 1
@@ -293,7 +293,7 @@
 		if s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: task}] != nil || j.BadOn[s.Machine.Name] {
 			continue
 		}
-		if sc := Score(s, j); sc < low {
+		if sc := Score(b.Now, s, j); sc < low {
 			best, low = s, sc
 		}
 	}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -141,6 +141,9 @@
 		return
 	}
 	e.moveAttempt(now, m, a, t.State)
+	if t.State != fleet.Fetching {
+		m.ImageThere(now, a.Image)
+	}
 	if j := e.jobs[t.Ref]; j != nil && t.State == fleet.Running {
 		j.Started = true
 	}
@@ -205,7 +208,8 @@
 			c.Op = fleet.Start
 			a.SentSeq = m.Seq
 			e.moveAttempt(now, m, a, fleet.Sent)
-			m.UseImage(a.Image, e.imageGB(a.Ref), e.catalog.Cache(m.Type))
+			cache, rate := e.catalog.Images(m.Type)
+			m.UseImage(now, a.Image, e.imageGB(a.Ref), cache, rate)
 			starts = append(starts, c)
 			e.debug("start", "job", a.Ref, "task", a.Task, "machine", m.Name, "attempt", a.Number)
 		}
