--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `{"member":"n-0","zone":"a","client_listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2","colour":"red",
+"peers":[{"member":"n-1","zone":"b","addr":"127.0.0.1:3"}],"endpoints":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
+"settings":{"zones":["a","b"],"teams":[{"name":"t","cpus":0,"cpus_max":8}],"objectives":[{"kind":"new","class":"x"}],
+"workers":{"report_s":3,"lease_s":30,"gang_wait_s":30,"gang_peer_s":4,"cancel_s":60},
+"state":{"rps":60,"write_rps":20,"value_kb":4,"txn_ops":12},"cloud":{"rps":2,"list_lag_s":10},
+"resources":{"cpu_share":0.1,"memory_mb":98,"max_sockets":800},"skew_ms":100}}`
+
+func TestParse(t *testing.T) {
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, field string }{
+		{`"member":"n-0"`, `"member":""`, "member"},
+		{`"zone":"a","client`, `"client`, "zone"},
+		{`"client_listen":"127.0.0.1:1"`, `"client_listen":"here"`, "client_listen"},
+		{`"member":"n-1"`, `"member":"n-0"`, "peers[0].member"},
+		{`"state":"127.0.0.1:5"`, `"state":7`, "endpoints.state"},
+		{`"zones":["a","b"]`, `"zones":[]`, "settings.zones"},
+		{`"name":"t"`, `"name":""`, "settings.teams[0].name"},
+		{`"cpus_max":8`, `"cpus_max":-8`, "settings.teams[0].cpus_max"},
+		{`"report_s":3`, `"report_s":0`, "settings.workers.report_s"},
+		{`"lease_s":30`, `"lease_s":"long"`, "settings.workers.lease_s"},
+		{`"txn_ops":12`, `"txn_ops":1`, "settings.state.txn_ops"},
+		{`"memory_mb":98,`, ``, "settings.resources.memory_mb"},
+		{`"skew_ms":100`, `"skew_ms":-1`, "settings.skew_ms"},
+	} {
+		changed := strings.Replace(good, c.old, c.new, 1)
+		if changed == good {
+			t.Fatalf("%s is not in the good settings", c.old)
+		}
+		_, err := Parse([]byte(changed))
+		if err == nil || !strings.Contains(err.Error(), c.field+":") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", c.field, err)
+		}
+	}
+	if _, err := Parse([]byte("{")); err == nil {
+		t.Error("half a file is accepted")
+	}
+}
--- /dev/null
+++ b/internal/core/capacity/capacity_test.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+var types = placement.Catalog{
+	"cpu": {Name: "cpu", CPUs: 8, MemGB: 32, Hourly: 1, SpotHour: 0.5, Zones: []string{"a", "b"}},
+	"big": {Name: "big", CPUs: 64, MemGB: 256, Hourly: 7, SpotHour: 3, Zones: []string{"a"}},
+}
+
+func job(t *testing.T, s pipeline.Spec) *pipeline.Job {
+	t.Helper()
+	j, err := pipeline.NewJob(pipeline.Record{Spec: s}, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+var now = time.Unix(100, 0)
+
+func TestChoosesTheCheapestOpenOffer(t *testing.T) {
+	var p Plan
+	j := job(t, pipeline.Spec{Tasks: 3, CPUs: 8, Spot: true})
+	o := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, nil, types)
+	if len(o) != 1 || o[0] != (Order{Offer{"cpu", "a", true}, 3}) {
+		t.Fatalf("orders %v", o)
+	}
+	p.Asked(o[0].Offer, 3)
+	if again := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, nil, types); len(again) != 0 {
+		t.Fatalf("asked again while asking: %v", again)
+	}
+	p.Answered(now, o[0].Offer, 3, 0, true, false)
+	if o := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, nil, types); len(o) != 1 || o[0].Offer != (Offer{"cpu", "b", true}) {
+		t.Fatalf("after a refusal: %v", o)
+	}
+	if o := p.Choose(now.Add(refusedFirst+time.Second), []Demand{{Job: j, Tasks: 3}}, nil, types); o[0].Offer.Zone != "a" {
+		t.Fatalf("after the pause: %v", o)
+	}
+}
+
+// A gang that must spread over zones isn't helped by more machines in one: the
+// plan once rented and returned there without end.
+func TestGangZones(t *testing.T) {
+	var p Plan
+	j := job(t, pipeline.Spec{Tasks: 4, CPUs: 8, Shape: pipeline.Gang, Spread: true})
+	per := map[string]int{}
+	for _, o := range p.Choose(now, []Demand{{Job: j, Tasks: 4}}, nil, types) {
+		per[o.Offer.Zone] += o.Count
+	}
+	if per["a"] != 2 || per["b"] != 2 {
+		t.Fatalf("machines by zone: %v", per)
+	}
+	one := job(t, pipeline.Spec{Tasks: 4, CPUs: 8, Shape: pipeline.Gang, OneZone: true})
+	orders := p.Choose(now, []Demand{{Job: one, Tasks: 4}}, nil, types)
+	for _, o := range orders {
+		if o.Offer.Zone != orders[0].Offer.Zone {
+			t.Fatalf("orders in several zones: %v", orders)
+		}
+	}
+}
+
+// Room on a machine where the job failed is none: the plan once waited for it.
+func TestRoomOnBadMachineIsNone(t *testing.T) {
+	m := fleet.NewMachine(now, "m-1", "cpu", "a", false, fleet.Live)
+	slot := placement.NewSlot(m, types["cpu"], 50)
+	j := job(t, pipeline.Spec{Tasks: 1, CPUs: 8})
+	if o := new(Plan).Choose(now, []Demand{{Job: j, Tasks: 1}}, []*placement.Slot{slot}, types); len(o) != 0 {
+		t.Fatalf("rents although there is room: %v", o)
+	}
+	slot = placement.NewSlot(m, types["cpu"], 50)
+	j.BadOn["m-1"] = true
+	if o := new(Plan).Choose(now, []Demand{{Job: j, Tasks: 1}}, []*placement.Slot{slot}, types); len(o) != 1 {
+		t.Fatalf("waits for room that it won't use: %v", o)
+	}
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -268,8 +268,8 @@
 
 // exited handles a reported exit, once.
 func (e *Engine) exited(now time.Time, m *fleet.Machine, a *fleet.Attempt, t fleet.TaskReport) {
-	if a.Handled {
-		return
+	if a.State() == fleet.Exited {
+		return // reported again, until the worker is told to forget it
 	}
 	j := e.jobs[a.Ref]
 	current := j != nil && a.Task < len(j.Tasks) && j.Tasks[a.Task].Attempt == a.Number
--- /dev/null
+++ b/internal/core/pipeline/pipeline_test.go
@@ -0,0 +1,114 @@
+package pipeline
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func newJob(t *testing.T, s Spec) *Job {
+	t.Helper()
+	j, err := NewJob(Record{Spec: s}, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// TestDoneRanges: what is written of finished tasks is what is read again, also
+// for a job of the largest size, and each value stays within the smallest limit.
+func TestDoneRanges(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{1, 7, ChunkTasks, ChunkTasks + 1, 100_000} {
+		for _, share := range []float64{0, 0.5, 0.9, 1} {
+			j := newJob(t, Spec{Ref: "j-1", Tasks: n})
+			for i := range n {
+				if rng.Float64() < share {
+					j.Finish(i)
+				}
+			}
+			chunks := map[int][]int{}
+			for c := 0; c*ChunkTasks < n; c++ {
+				chunks[c] = j.Chunk(c)
+				if len(chunks[c]) > ChunkTasks+1 {
+					t.Fatalf("chunk of %d runs", len(chunks[c]))
+				}
+			}
+			rec := j.Record()
+			delete(chunks, 0)
+			k, err := NewJob(rec, 2, chunks)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range j.Tasks {
+				if j.Tasks[i].State() != k.Tasks[i].State() {
+					t.Fatalf("%d tasks: task %d differs", n, i)
+				}
+			}
+			if k.Dirty() || !reflect.DeepEqual(rec.Done, k.Record().Done) {
+				t.Fatalf("%d tasks: reading changes the record", n)
+			}
+		}
+	}
+}
+
+// TestCancelAgainstDone: the store decides which came first.
+func TestCancelAgainstDone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	j := newJob(t, Spec{Ref: "j-1", Tasks: 1})
+	j.Finish(0)
+	if !j.Settle() || j.Phase() != Done || j.Written() != Active {
+		t.Fatal("a finished job isn't done, or is told before it is written")
+	}
+	if !j.Cancel(now) || j.Written() != Cancelled {
+		t.Fatal("a cancellation that the store holds lost against an unwritten result")
+	}
+	k := newJob(t, Spec{Ref: "j-2", Tasks: 1})
+	k.Finish(0)
+	k.Settle()
+	k.SetWritten(Done)
+	if k.Cancel(now) || k.Phase() != Done {
+		t.Fatal("a written result was undone by a cancellation")
+	}
+}
+
+func TestGangFinishesTogether(t *testing.T) {
+	j := newJob(t, Spec{Ref: "j-1", Tasks: 3, Shape: Gang})
+	j.Assign(1, "m", 5)
+	j.Finish(1)
+	if !j.Settle() || j.Count(Finished) != 3 {
+		t.Fatal("one task of a gang is done and the others are not")
+	}
+	j.Requeue(1)
+	if j.Tasks[1].State() != Finished {
+		t.Fatal("a result was taken back")
+	}
+}
+
+// TestRestarts: past the limit a lone job is repeated ever more slowly, not failed.
+func TestRestarts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	j := newJob(t, Spec{Ref: "j-1", Tasks: 2})
+	var last time.Duration
+	for n := 1; n <= 12; n++ {
+		j.Assign(0, "m", uint64(n))
+		j.Abort(now, 0, 3)
+		j.Requeue(0)
+		wait := j.Tasks[0].NotUntil.Sub(now)
+		if n <= 3 && wait > time.Second || n > 3 && wait < last {
+			t.Fatalf("restart %d waits %s after %s", n, wait, last)
+		}
+		last = wait
+		if i := j.NextWaiting(now, 0); i != 1 {
+			t.Fatalf("restart %d: task %d may start during back-off", n, i)
+		}
+		if j.NextWaiting(now.Add(wait), 0) != 0 {
+			t.Fatalf("restart %d: not repeated after its back-off", n)
+		}
+	}
+	k, err := NewJob(j.Record(), 2, nil)
+	if err != nil || k.Tasks[0].Restarts() != 12 {
+		t.Fatalf("restarts after reading: %d, %v", k.Tasks[0].Restarts(), err)
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,160 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+var types = Catalog{
+	"cpu": {Name: "cpu", CPUs: 8, MemGB: 32, Hourly: 1, FetchGBPerS: 1, Zones: []string{"a", "b"}},
+	"gpu": {Name: "gpu", CPUs: 8, GPUs: 2, MemGB: 32, Hourly: 9, FetchGBPerS: 1, Zones: []string{"a"}},
+}
+
+func TestPossible(t *testing.T) {
+	limit := Team{CPUsMax: 10, GPUsMax: 2}
+	for _, c := range []struct {
+		name string
+		spec pipeline.Spec
+		want bool
+	}{
+		{"plain", pipeline.Spec{Tasks: 1, CPUs: 8}, true},
+		{"too large", pipeline.Spec{Tasks: 1, CPUs: 8.1}, false},
+		{"array beyond the limit in all", pipeline.Spec{Tasks: 100, CPUs: 8}, true},
+		{"gang beyond the limit", pipeline.Spec{Tasks: 2, CPUs: 8, Shape: pipeline.Gang}, false},
+		{"service beyond the limit", pipeline.Spec{Tasks: 3, GPUs: 1, Shape: pipeline.Service}, false},
+		{"no such type", pipeline.Spec{Tasks: 1, CPUs: 1, Types: []string{"tpu"}}, false},
+		{"no types at all", pipeline.Spec{Tasks: 1, CPUs: 1, Types: []string{}}, false},
+		{"type not in the zone", pipeline.Spec{Tasks: 1, GPUs: 1, Zone: "b"}, false},
+		{"unknown zone", pipeline.Spec{Tasks: 1, CPUs: 1, Zone: "c"}, false},
+	} {
+		if got := Possible(&c.spec, limit, types, []string{"a", "b"}); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// board is a round over some machines; it records what is placed and stopped.
+type board struct {
+	Board
+	placed  []Decision
+	stopped []*fleet.Attempt
+	unmet   int
+}
+
+func newBoard(t *testing.T, jobs []*pipeline.Job, machines ...*fleet.Machine) *board {
+	t.Helper()
+	b := &board{}
+	now := time.Unix(100, 0)
+	b.Board = Board{Now: now, Jobs: jobs,
+		Team:    func(string) Team { return Team{CPUsMax: 40} },
+		Usage:   func(string) (c, g float64) { return float64(8 * len(b.placed)), 0 },
+		InZones: func(string) map[string]int { return map[string]int{} },
+		Busy:    func(string) int { return 0 },
+		Commit: func(d Decision) {
+			b.placed = append(b.placed, d)
+			d.Job.Assign(d.Task, d.Slot.Machine.Name, 1)
+		},
+		Unmet:   func(_ *pipeline.Job, n int) { b.unmet += n },
+		EndOf:   func(*fleet.Attempt) time.Time { return now.Add(time.Minute) },
+		Due:     func(*pipeline.Job) time.Time { return now.Add(time.Second) },
+		MayStop: func(_ *pipeline.Job, a *fleet.Attempt) (float64, bool) { return 1, a.Ref == "j-9" },
+		Stop:    func(a *fleet.Attempt) { b.stopped = append(b.stopped, a) },
+	}
+	for _, m := range machines {
+		b.Slots = append(b.Slots, NewSlot(m, types[m.Type], 50))
+	}
+	return b
+}
+
+func machine(name, typ, zone string, tasks ...string) *fleet.Machine {
+	m := fleet.NewMachine(time.Unix(0, 0), name, typ, zone, false, fleet.Live)
+	for i, ref := range tasks {
+		m.Add(time.Unix(0, 0), &fleet.Attempt{Key: fleet.Key{Ref: ref, Task: i}, Number: uint64(i + 1), CPUs: 4}, fleet.Running)
+	}
+	return m
+}
+
+func job(t *testing.T, s pipeline.Spec) *pipeline.Job {
+	t.Helper()
+	j, err := pipeline.NewJob(pipeline.Record{Spec: s}, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+func TestGangWholeOrNotAtAll(t *testing.T) {
+	gang := job(t, pipeline.Spec{Ref: "j-1", Tasks: 3, CPUs: 8, Shape: pipeline.Gang, OneZone: true})
+	b := newBoard(t, []*pipeline.Job{gang}, machine("m-1", "cpu", "a"), machine("m-2", "cpu", "b"), machine("m-3", "cpu", "b"))
+	if new(Round).Run(&b.Board); len(b.placed) != 0 || b.unmet != 3 {
+		t.Fatalf("placed %v, unmet %d", b.placed, b.unmet)
+	}
+	b = newBoard(t, []*pipeline.Job{gang}, machine("m-1", "cpu", "a"), machine("m-2", "cpu", "b"), machine("m-3", "cpu", "b"), machine("m-4", "cpu", "b"))
+	if new(Round).Run(&b.Board); len(b.placed) != 3 {
+		t.Fatalf("placed %v", b.placed)
+	}
+	for _, d := range b.placed {
+		if d.Slot.Zone != "b" {
+			t.Errorf("task %d in zone %s", d.Task, d.Slot.Zone)
+		}
+	}
+}
+
+func TestQuotaBoundsArrays(t *testing.T) {
+	j := job(t, pipeline.Spec{Ref: "j-1", Tasks: 9, CPUs: 8})
+	var ms []*fleet.Machine
+	for _, n := range []string{"m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "m-7"} {
+		ms = append(ms, machine(n, "cpu", "a"))
+	}
+	b := newBoard(t, []*pipeline.Job{j}, ms...)
+	if new(Round).Run(&b.Board); len(b.placed) != 5 {
+		t.Fatalf("%d tasks of 8 CPUs within a limit of 40", len(b.placed))
+	}
+}
+
+// Work without GPUs goes where it wastes none.
+func TestCheaperPlace(t *testing.T) {
+	j := job(t, pipeline.Spec{Ref: "j-1", Tasks: 1, CPUs: 4})
+	b := newBoard(t, []*pipeline.Job{j}, machine("m-1", "gpu", "a"), machine("m-2", "cpu", "a"))
+	if new(Round).Run(&b.Board); len(b.placed) != 1 || b.placed[0].Slot.Machine.Name != "m-2" {
+		t.Fatalf("placed %+v", b.placed)
+	}
+}
+
+// Room that is made, or is coming, for a large task isn't given to later jobs.
+func TestPreemptionKeepsTheRoom(t *testing.T) {
+	large := job(t, pipeline.Spec{Ref: "j-1", Tasks: 1, CPUs: 8, Priority: pipeline.High})
+	small := job(t, pipeline.Spec{Ref: "j-2", Tasks: 1, CPUs: 4, Priority: pipeline.Normal})
+	b := newBoard(t, []*pipeline.Job{large, small}, machine("m-1", "cpu", "a", "j-9"))
+	if new(Round).Run(&b.Board); len(b.stopped) != 1 || len(b.placed) != 0 || b.unmet != 2 {
+		t.Fatalf("stopped %v, placed %v, unmet %d", b.stopped, b.placed, b.unmet)
+	}
+	b = newBoard(t, []*pipeline.Job{large, small}, machine("m-1", "cpu", "a", "j-8"))
+	if new(Round).Run(&b.Board); len(b.stopped) != 0 || len(b.placed) != 0 {
+		t.Fatalf("stopped %v, placed %v", b.stopped, b.placed)
+	}
+}
+
+// A round that runs out of its budget goes on where it stopped.
+func TestRoundResumes(t *testing.T) {
+	var jobs []*pipeline.Job
+	for _, ref := range []string{"j-1", "j-2", "j-3"} {
+		jobs = append(jobs, job(t, pipeline.Spec{Ref: ref, Tasks: 1, CPUs: 1}))
+	}
+	b := newBoard(t, jobs, machine("m-1", "cpu", "a"))
+	asked := 0
+	b.Spent = func() bool { asked++; return asked%2 == 0 }
+	var r Round
+	rounds := 1
+	for !r.Run(&b.Board) {
+		if rounds++; rounds > 10 {
+			t.Fatal("never comes to the end")
+		}
+	}
+	if len(b.placed) != 3 || rounds != 3 {
+		t.Fatalf("%d placed in %d rounds", len(b.placed), rounds)
+	}
+}
--- /dev/null
+++ b/internal/core/safety_test.go
@@ -0,0 +1,284 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+// bench drives one engine by hand.
+type bench struct {
+	t   *testing.T
+	e   *Engine
+	now time.Time
+	seq map[string]uint64
+}
+
+func config() Config {
+	return Config{Teams: map[string]placement.Team{"t": {}}, Zones: []string{"a"}, ReportEvery: 3 * time.Second, Lease: 30 * time.Second,
+		GangWait: 30 * time.Second, GangPeers: 4 * time.Second, CancelWithin: 60 * time.Second, ListLag: 4 * time.Second, RestartLimit: 3,
+		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 100}
+}
+
+func job(ref string, tasks int) StoredJob {
+	return StoredJob{Version: 5, Record: pipeline.Record{Spec: pipeline.Spec{Ref: ref, Class: "c", Team: "t", Tasks: tasks, CPUs: 1, Image: "i"}}}
+}
+
+func newBench(t *testing.T, term uint64, snap Snapshot) *bench {
+	b := &bench{t: t, now: time.Unix(5000, 0), seq: map[string]uint64{}}
+	b.e = New(b.now, config(), term, snap, rand.New(rand.NewPCG(1, 1)))
+	b.e.Step(b.now, Catalog{placement.Catalog{"big": {Name: "big", CPUs: 8, MemGB: 32, CacheGB: 10, FetchGBPerS: 1, Hourly: 1, Boot: 20 * time.Second, Zones: []string{"a"}}}})
+	return b
+}
+
+// report sends a report and returns the commands it is answered with.
+func (b *bench) report(machine string, token uint64, tasks ...fleet.TaskReport) Reply {
+	b.seq[machine]++
+	return b.reportAs(machine, token, b.seq[machine], tasks...)
+}
+
+func (b *bench) reportAs(machine string, token, seq uint64, tasks ...fleet.TaskReport) Reply {
+	r := fleet.Report{Machine: machine, Addr: machine, Type: "big", Zone: "a", Session: 1, Seq: seq, Token: token, Notice: -1, Tasks: tasks}
+	eff := b.e.Step(b.now, ReportIn{r})
+	if eff.Reply.Hold {
+		eff = b.e.Step(b.now, Collect{r})
+	}
+	return *eff.Reply
+}
+
+// pass lets time pass, with rounds of decisions; written says whether the
+// store takes what the engine wants written.
+func (b *bench) pass(d time.Duration, written bool) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(200 * time.Millisecond)
+		b.e.Step(b.now, Tick{})
+		if batch := b.e.Batch(b.now, 10); written && len(batch) > 0 {
+			b.e.Step(b.now, Sending{batch})
+			b.e.Step(b.now, Written{Batch: batch, OK: true, Version: 100})
+		}
+	}
+}
+
+func starts(r Reply) (out []fleet.Command) {
+	for _, c := range r.Commands {
+		if c.Op == fleet.Start {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func running(c fleet.Command) fleet.TaskReport {
+	return fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Running}
+}
+
+// A start leaves only once the store holds that the attempt may be there:
+// otherwise a later leader wouldn't know of it.
+func TestStartOnlyAfterRecord(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
+	b.report("m-1", 0)
+	b.pass(6*time.Second, false)
+	if s := starts(b.report("m-1", 2)); len(s) != 0 {
+		t.Fatalf("started before the record was written: %v", s)
+	}
+	b.pass(time.Second, true)
+	if s := starts(b.report("m-1", 2)); len(s) != 1 {
+		t.Fatalf("not started once the record was written: %v", s)
+	}
+}
+
+func inherited() Snapshot {
+	return Snapshot{Jobs: []StoredJob{job("j-1", 1)}, Machines: []StoredMachine{
+		{Name: "m-1", Version: 3, Record: fleet.Record{Type: "big", Zone: "a", Addr: "m-1", Entries: []fleet.Entry{{Ref: "j-1", Task: 0, Attempt: 1 << attemptBits}}}},
+	}}
+}
+
+// A report without this term's token may have been sent before an earlier
+// leader's last start arrived, so it can't prove an inherited attempt absent.
+func TestInheritedAttemptNeedsConfirmedReport(t *testing.T) {
+	b := newBench(t, 2, inherited())
+	b.report("m-2", 0)
+	b.report("m-1", 1) // lists nothing, but was sent under term 1
+	b.pass(6*time.Second, true)
+	if s := starts(b.report("m-2", 2)); len(s) != 0 {
+		t.Fatalf("placed again on the word of an unconfirmed report: %v", s)
+	}
+	b.report("m-1", 2)
+	b.pass(time.Second, true)
+	if s := append(starts(b.report("m-2", 2)), starts(b.report("m-1", 2))...); len(s) != 1 {
+		t.Fatalf("not placed once proven gone: %v", s)
+	}
+}
+
+// An unheard machine holds its tasks until its worker's lease has ended, counted
+// from the takeover: an earlier leader may have answered it until then.
+func TestInheritedAttemptUntilLeaseOver(t *testing.T) {
+	b := newBench(t, 2, inherited())
+	start := b.now
+	b.report("m-2", 0)
+	for {
+		b.pass(3*time.Second, true)
+		if len(starts(b.report("m-2", 2))) > 0 {
+			break
+		}
+		if b.now.Sub(start) > time.Minute {
+			t.Fatal("never placed again")
+		}
+	}
+	if held := b.now.Sub(start); held <= config().Lease {
+		t.Fatalf("placed again after %s, within the lease", held)
+	}
+}
+
+// Of several records that name a task, only the highest attempt can be current.
+func TestHighestAttemptCounts(t *testing.T) {
+	snap := inherited()
+	snap.Machines = append(snap.Machines, StoredMachine{Name: "m-0", Version: 2, Record: fleet.Record{Type: "big", Zone: "a",
+		Entries: []fleet.Entry{{Ref: "j-1", Task: 0, Attempt: 1<<attemptBits - 5}}}})
+	b := newBench(t, 2, snap)
+	b.report("m-1", 1)
+	b.report("m-1", 2) // proves the attempt there gone; m-0 is never heard
+	b.pass(6*time.Second, true)
+	if s := starts(b.report("m-1", 2)); len(s) != 1 {
+		t.Fatalf("an outdated record keeps the task from being placed: %v", s)
+	}
+}
+
+// started brings a bench to where a task has been started on m-1.
+func started(t *testing.T) (*bench, fleet.Command) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
+	b.report("m-1", 0)
+	b.pass(6*time.Second, true)
+	s := starts(b.report("m-1", 2))
+	if len(s) != 1 {
+		t.Fatalf("starts: %v", s)
+	}
+	return b, s[0]
+}
+
+// A start still in flight isn't absent: an older report that arrives late, or a
+// copy of the one that was answered with the start, proves nothing.
+func TestOldReportProvesNothing(t *testing.T) {
+	b, c := started(t)
+	seq := b.seq["m-1"]
+	for _, old := range []uint64{seq - 1, seq} {
+		if r := b.reportAs("m-1", 2, old); r.OK {
+			t.Fatalf("report %d after %d is answered with 200, and renews the lease", old, seq)
+		}
+	}
+	if b.e.jobs["j-1"].Tasks[0].Attempt != c.Attempt {
+		t.Fatal("an old report made the task free to be placed again")
+	}
+}
+
+// The next report without the attempt proves that the start was dropped, and the
+// task starts anew under a new number.
+func TestDroppedStart(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2)
+	b.pass(time.Second, true)
+	s := starts(b.report("m-1", 2))
+	if len(s) != 1 || s[0].Attempt <= c.Attempt {
+		t.Fatalf("after a dropped start: %v, before %v", s, c)
+	}
+}
+
+// A result is forgotten by the worker only once the store holds it.
+func TestClearOnlyAfterWritten(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	done := fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseDone}
+	for range 3 {
+		if r := b.report("m-1", 2, done); len(r.Commands) != 0 {
+			t.Fatalf("commands before the result is written: %v", r.Commands)
+		}
+		if v, ok := b.e.Lookup("j-1"); ok && v.Phase == pipeline.Done {
+			t.Fatal("told as done before it is written")
+		}
+		b.pass(time.Second, false)
+	}
+	b.pass(time.Second, true)
+	if r := b.report("m-1", 2, done); len(r.Commands) != 1 || r.Commands[0].Op != fleet.Forget {
+		t.Fatalf("commands after the result is written: %v", r.Commands)
+	}
+	if v, ok := b.e.Lookup("j-1"); !ok || v.Phase != pipeline.Done {
+		t.Fatalf("view after the result is written: %v, %v", v, ok)
+	}
+}
+
+// While a final entry is on its way, or a cancellation's fate is unknown, this
+// node must not call the job active: another may have read better in the store.
+func TestNoAnswerInDoubt(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
+	if _, ok := b.e.Lookup("j-1"); !ok {
+		t.Fatal("an active job isn't known")
+	}
+	b.e.Step(b.now, Doubt{"j-1"})
+	if v, ok := b.e.Lookup("j-1"); ok {
+		t.Fatalf("answered in doubt: %v", v)
+	}
+	b.pass(5*time.Second, true) // the record is written anew
+	if _, ok := b.e.Lookup("j-1"); !ok {
+		t.Fatal("still in doubt after the record was written anew")
+	}
+}
+
+// A cancelled job's tasks are stopped at once, nothing starts afterwards, and a
+// machine that stays silent with one of them is released in time.
+func TestCancelIsFinalAndInTime(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	at := b.now
+	cancelled := job("j-1", 1)
+	cancelled.Version, cancelled.Record.Phase, cancelled.Record.CancelledMS = 200, pipeline.Cancelled, at.UnixMilli()
+	eff := b.e.Step(b.now, JobStored{cancelled})
+	if len(eff.Direct) != 1 || eff.Direct[0].Commands[0].Op != fleet.Stop || eff.Direct[0].Commands[0].Grace != 0 {
+		t.Fatalf("effects of a cancellation: %+v", eff)
+	}
+	for b.now.Sub(at) < config().CancelWithin {
+		b.now = b.now.Add(time.Second)
+		if eff := b.e.Step(b.now, Tick{}); len(eff.Release) > 0 {
+			return
+		}
+	}
+	t.Fatal("the silent machine wasn't released in time")
+}
+
+// A report with a higher token means that somebody else has taken over.
+func TestHigherTokenDeposes(t *testing.T) {
+	b := newBench(t, 2, Snapshot{})
+	eff := b.e.Step(b.now, ReportIn{fleet.Report{Machine: "m-1", Type: "big", Zone: "a", Session: 1, Seq: 1, Token: 3, Notice: -1}})
+	if !eff.Deposed || eff.Reply.OK {
+		t.Fatalf("effects: %+v", eff)
+	}
+}
+
+// A machine on which several jobs fail is blamed, not the jobs; what waits there
+// unsent goes elsewhere.
+func TestSickMachine(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1), job("j-2", 1)}})
+	b.report("m-1", 0)
+	b.pass(6*time.Second, true)
+	var failed []fleet.TaskReport
+	for _, c := range starts(b.report("m-1", 2)) {
+		failed = append(failed, fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseError})
+	}
+	if len(failed) != 2 {
+		t.Fatalf("%d starts", len(failed))
+	}
+	b.report("m-1", 2, failed...)
+	b.e.Step(b.now, JobStored{job("j-3", 1)})
+	b.pass(5*time.Second, true)
+	if s := starts(b.report("m-1", 2)); len(s) != 0 {
+		t.Fatalf("a sick machine got starts: %v", s)
+	}
+	b.report("m-2", 0)
+	b.pass(5*time.Second, true)
+	if s := starts(b.report("m-2", 2)); len(s) != 3 {
+		t.Fatalf("the jobs don't go on elsewhere: %v", s)
+	}
+}
