--- /dev/null
+++ b/internal/jobstore/jobstore_test.go
@@ -0,0 +1,148 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/leadership"
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// memory is a state service in memory.
+type memory struct {
+	items map[string]statestore.Item
+	rev   uint64
+}
+
+func (m *memory) Get(_ context.Context, key string) (statestore.Item, bool, error) {
+	it, ok := m.items[key]
+	return it, ok, nil
+}
+
+func (m *memory) List(_ context.Context, prefix string) (out []statestore.Item, rev uint64, err error) {
+	for k, it := range m.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, it)
+		}
+	}
+	return out, m.rev, nil
+}
+
+func (m *memory) Commit(_ context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	for _, c := range conds {
+		if m.items[c.Path].Stamp != c.Stamp {
+			return 0, &statestore.ConflictError{Failed: []string{c.Path}}
+		}
+	}
+	m.rev++
+	for _, c := range changes {
+		if c.Drop != "" {
+			delete(m.items, c.Drop)
+		} else {
+			m.items[c.Put] = statestore.Item{Path: c.Put, V: c.V, Stamp: m.rev}
+		}
+	}
+	return m.rev, nil
+}
+
+var ctx = context.Background()
+
+func setup(t *testing.T) (*memory, *Jobs, leadership.Term) {
+	t.Helper()
+	m := &memory{items: map[string]statestore.Item{}}
+	rev, err := m.Commit(ctx, nil, []wire.Change{{Put: leadership.TermKey, V: wire.MustMarshal(1)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := New(m)
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 2, Types: []string{}}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	return m, j, leadership.Term{N: 1, Stamp: rev}
+}
+
+func TestCreateOnce(t *testing.T) {
+	_, j, term := setup(t)
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 9}, time.Now()); !errors.Is(err, ErrExists) {
+		t.Fatalf("second creation: %v", err)
+	}
+	st, err := j.Load(ctx, "j-1")
+	if err != nil || !st.Found || st.Record.Spec.Tasks != 2 {
+		t.Fatalf("%+v, %v", st, err)
+	}
+	if st.Record.Spec.Types == nil {
+		t.Fatal("a list of no types has become any type")
+	}
+	final := core.Write{Kind: core.WriteFinal, Name: "j-1", Version: st.Version, Final: pipeline.Final{Phase: pipeline.Done, Tasks: 2}}
+	if _, _, err := j.Apply(ctx, term, []core.Write{final}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 2}, time.Now()); !errors.Is(err, ErrExists) {
+		t.Fatalf("creation of a job that is over: %v", err)
+	}
+	if st, err := j.Load(ctx, "j-1"); err != nil || !st.Over || st.Phase != pipeline.Done || st.Done != 2 {
+		t.Fatalf("%+v, %v", st, err)
+	}
+}
+
+// A deposed leader's write fails, however late it arrives.
+func TestDeposedLeaderCannotWrite(t *testing.T) {
+	m, j, term := setup(t)
+	st, _ := j.Load(ctx, "j-1")
+	if _, err := m.Commit(ctx, nil, []wire.Change{{Put: leadership.TermKey, V: wire.MustMarshal(2)}}); err != nil {
+		t.Fatal(err)
+	}
+	w := core.Write{Kind: core.WriteJob, Name: "j-1", Version: st.Version, Job: st.Record}
+	if _, _, err := j.Apply(ctx, term, []core.Write{w}); !errors.Is(err, ErrDeposed) {
+		t.Fatalf("error %v", err)
+	}
+	if _, err := j.Cancel(ctx, "j-1", time.Now(), UnderTerm(term)); !errors.Is(err, ErrNotOurs) {
+		t.Fatalf("cancellation under an old term: %v", err)
+	}
+}
+
+// Between a cancellation and a result, the version of the one record decides.
+func TestCancelAgainstDone(t *testing.T) {
+	m, j, term := setup(t)
+	st, _ := j.Load(ctx, "j-1")
+	if _, err := j.Cancel(ctx, "j-1", time.Now(), UnderTerm(term)); err != nil {
+		t.Fatal(err)
+	}
+	final := core.Write{Kind: core.WriteFinal, Name: "j-1", Version: st.Version, Final: pipeline.Final{Phase: pipeline.Done, Tasks: 2}}
+	if _, _, err := j.Apply(ctx, term, []core.Write{final}); err == nil {
+		t.Fatal("a result was written over a cancellation")
+	}
+	m.items[leadership.HolderKey] = statestore.Item{Stamp: 7}
+	if _, err := j.Cancel(ctx, "j-1", time.Now(), NobodyLeads()); err != nil {
+		t.Fatalf("repeating a cancellation: %v", err)
+	}
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-2", Tasks: 1}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := j.Cancel(ctx, "j-2", time.Now(), NobodyLeads()); !errors.Is(err, ErrNotOurs) {
+		t.Fatalf("cancellation past the leader: %v", err)
+	}
+	if _, err := j.Cancel(ctx, "j-3", time.Now(), UnderTerm(term)); !errors.Is(err, ErrUnknownJob) {
+		t.Fatalf("cancellation of an unknown job: %v", err)
+	}
+}
+
+// Apply covers as many writes as one transaction takes, and says which.
+func TestApplyInParts(t *testing.T) {
+	_, j, term := setup(t)
+	var writes []core.Write
+	for i := range 30 {
+		writes = append(writes, core.Write{Kind: core.WriteJob, Name: fmt.Sprintf("j-%d", 100+i), Job: pipeline.Record{Spec: pipeline.Spec{Class: strings.Repeat("x", 3000), Tasks: 1}}})
+	}
+	sent, _, err := j.Apply(ctx, term, writes)
+	if err != nil || len(sent) == 0 || len(sent) == len(writes) {
+		t.Fatalf("%d of %d, %v", len(sent), len(writes), err)
+	}
+}
--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,266 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// fakeStore is a state service with one lease kind and faults, in the test's
+// fake time.
+type fakeStore struct {
+	mu     sync.Mutex
+	items  map[string]statestore.Item
+	rev    uint64
+	leases map[uint64]time.Time
+	next   uint64
+	ttl    time.Duration
+	down   bool
+	cut    map[string]bool
+}
+
+func newFake() *fakeStore {
+	return &fakeStore{items: map[string]statestore.Item{}, leases: map[uint64]time.Time{}, cut: map[string]bool{}}
+}
+
+// client is one node's view of the store.
+type client struct {
+	*fakeStore
+	node string
+}
+
+func (c client) enter() error {
+	time.Sleep(5 * time.Millisecond)
+	c.mu.Lock()
+	if c.down || c.cut[c.node] {
+		c.mu.Unlock()
+		return statestore.ErrUnavailable
+	}
+	for id, until := range c.leases {
+		if time.Now().After(until) {
+			c.end(id)
+		}
+	}
+	return nil
+}
+
+func (f *fakeStore) end(id uint64) {
+	delete(f.leases, id)
+	for k, it := range f.items {
+		if it.Hold == id {
+			delete(f.items, k)
+			f.rev++
+		}
+	}
+}
+
+func (c client) Get(_ context.Context, key string) (statestore.Item, bool, error) {
+	if err := c.enter(); err != nil {
+		return statestore.Item{}, false, err
+	}
+	defer c.mu.Unlock()
+	it, ok := c.items[key]
+	return it, ok, nil
+}
+
+func (c client) Commit(_ context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	if err := c.enter(); err != nil {
+		return 0, err
+	}
+	defer c.mu.Unlock()
+	for _, cd := range conds {
+		if c.items[cd.Path].Stamp != cd.Stamp {
+			return 0, &statestore.ConflictError{Failed: []string{cd.Path}}
+		}
+	}
+	c.rev++
+	for _, ch := range changes {
+		if _, ok := c.leases[ch.Hold]; ch.Hold != 0 && !ok {
+			return 0, errors.New("no such lease")
+		}
+		c.items[ch.Put] = statestore.Item{Path: ch.Put, V: ch.V, Stamp: c.rev, Hold: ch.Hold}
+	}
+	return c.rev, nil
+}
+
+func (c client) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+	if err := c.enter(); err != nil {
+		return 0, err
+	}
+	defer c.mu.Unlock()
+	c.next++
+	c.ttl = ttl
+	c.leases[c.next] = time.Now().Add(ttl)
+	return c.next, nil
+}
+
+func (c client) Touch(_ context.Context, id uint64) error {
+	if err := c.enter(); err != nil {
+		return err
+	}
+	defer c.mu.Unlock()
+	if _, ok := c.leases[id]; !ok {
+		return statestore.ErrNotFound
+	}
+	c.leases[id] = time.Now().Add(c.ttl)
+	return nil
+}
+
+func (c client) Revoke(_ context.Context, id uint64) error {
+	if err := c.enter(); err != nil {
+		return err
+	}
+	defer c.mu.Unlock()
+	c.end(id)
+	return nil
+}
+
+func (c client) Follow(ctx context.Context, _ string, since uint64) (wire.News, error) {
+	for range 50 {
+		if err := c.enter(); err != nil {
+			return wire.News{}, err
+		}
+		rev := c.rev
+		c.mu.Unlock()
+		if rev > since || ctx.Err() != nil {
+			return wire.News{Ledger: rev}, nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return wire.News{}, nil
+}
+
+// outage makes the store refuse everybody; afterwards all leases have their full
+// time again.
+func (f *fakeStore) outage(d time.Duration) {
+	f.mu.Lock()
+	f.down = true
+	for id := range f.leases {
+		f.leases[id] = time.Now().Add(d + f.ttl)
+	}
+	f.mu.Unlock()
+	time.Sleep(d)
+	f.mu.Lock()
+	f.down = false
+	f.mu.Unlock()
+}
+
+type trio struct {
+	store *fakeStore
+	leads []*Lead
+	terms []uint64
+	mu    sync.Mutex
+}
+
+func start(ctx context.Context, ttl time.Duration) *trio {
+	tr := &trio{store: newFake()}
+	for _, name := range []string{"a", "b", "c"} {
+		l := New(client{tr.store, name}, Options{Member: name, TTL: ttl, Hooks: Hooks{
+			Elected: func(_ context.Context, t Term) {
+				tr.mu.Lock()
+				defer tr.mu.Unlock()
+				tr.terms = append(tr.terms, t.N)
+			},
+			Resumed: func() {}, Deaf: func() bool { return false },
+		}})
+		tr.leads = append(tr.leads, l)
+		go l.Run(ctx) //nolint:errcheck // ends with ctx
+	}
+	return tr
+}
+
+// entitled counts the nodes that may act; more than one is never right.
+func (tr *trio) entitled(t *testing.T) (who int) {
+	t.Helper()
+	who = -1
+	for i, l := range tr.leads {
+		if l.Entitled(time.Now()) {
+			if who >= 0 {
+				t.Fatalf("nodes %d and %d are entitled at once", who, i)
+			}
+			who = i
+		}
+	}
+	return who
+}
+
+func (tr *trio) watch(t *testing.T, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		tr.entitled(t)
+	}
+}
+
+// TestOneLeader: never two at once, terms only rise, and a leader cut off from
+// the store loses its right before anybody else gets it.
+func TestOneLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const ttl = 3 * time.Second
+		tr := start(ctx, ttl)
+		tr.watch(t, 2*time.Second)
+		first := tr.entitled(t)
+		if first < 0 {
+			t.Fatal("nobody leads")
+		}
+		tr.store.mu.Lock()
+		tr.store.cut["abc"[first:first+1]] = true
+		tr.store.mu.Unlock()
+		tr.watch(t, 2*ttl)
+		second := tr.entitled(t)
+		if second < 0 || second == first {
+			t.Fatalf("node %d leads after node %d was cut off", second, first)
+		}
+		tr.leads[second].Resign("test")
+		if tr.leads[second].Entitled(time.Now()) {
+			t.Fatal("entitled after resigning")
+		}
+		tr.watch(t, ttl)
+		if third := tr.entitled(t); third < 0 || third == second {
+			t.Fatalf("node %d leads after node %d resigned", third, second)
+		}
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		for i := 1; i < len(tr.terms); i++ {
+			if tr.terms[i] <= tr.terms[i-1] {
+				t.Fatalf("terms %v", tr.terms)
+			}
+		}
+		cancel()
+		time.Sleep(10 * time.Second) // for all nodes to end
+	})
+}
+
+// TestOutage: in an outage nobody may act, and afterwards the leader that kept
+// its lease goes on in the same term.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		tr := start(ctx, 3*time.Second)
+		tr.watch(t, 2*time.Second)
+		before := tr.entitled(t)
+		go tr.store.outage(10 * time.Second)
+		time.Sleep(4 * time.Second)
+		if who := tr.entitled(t); who >= 0 {
+			t.Fatalf("node %d is entitled in an outage", who)
+		}
+		tr.watch(t, 8*time.Second)
+		if after := tr.entitled(t); after != before {
+			t.Fatalf("node %d leads after the outage, %d before", after, before)
+		}
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		if len(tr.terms) != 1 {
+			t.Fatalf("terms %v", tr.terms)
+		}
+		cancel()
+		time.Sleep(10 * time.Second) // for all nodes to end
+	})
+}
