--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -269,3 +269,13 @@
 		e.release(now, m, fmt.Sprintf("silent for %s", quiet.Round(time.Second)))
 	}
 }
+
+// HasLive tells whether any machine is up as far as is known.
+func (e *Engine) HasLive() bool {
+	for _, m := range e.machines {
+		if s := m.State(); s == fleet.Live || s == fleet.Silent {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -159,7 +159,7 @@
 		if !r.entitled() {
 			continue
 		}
-		if r.d.agents.LastContact().After(r.d.started) && time.Since(r.lastHeard()) > deafAfter {
+		if r.expectsReports() && time.Since(r.lastHeard()) > deafAfter {
 			r.d.lead.Resign("no worker has reported")
 			continue
 		}
@@ -168,6 +168,13 @@
 	return r.ctx.Err()
 }
 
+// expectsReports tells whether any machine is believed to report.
+func (r *reign) expectsReports() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.eng.HasLive()
+}
+
 func (r *reign) decide() {
 	end := time.Now().Add(roundTime)
 	r.step(core.Tick{Spent: func() bool { return time.Now().After(end) }})
