--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -85,6 +85,9 @@
 	}
 	e.rent(now, demand, append(future, b.Slots...))
 	e.giveBack(now, demand)
+	if len(demand) == 0 {
+		e.consolidate(now, b.Slots)
+	}
 }
 
 // mayStop holds the protocol's rules of preemption: for a job of higher
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -66,6 +66,7 @@
 	replan   bool // something changed that placement may use
 	placedAt time.Time
 	lastList time.Time
+	movedAt  time.Time                 // when a machine was last emptied
 	finals   map[string]pipeline.Final // told for good
 	cleanup  []chunkRef                // done ranges of jobs that are over
 	orphans  map[string]uint64         // records of machines that are gone, with versions
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -13,6 +13,7 @@
 	runs   int
 	ratio  float64 // run time over estimate, smoothed
 	lastAt time.Time
+	rate   float64        // tasks a second as of lastAt
 	spec   *pipeline.Spec // its latest job's
 }
 
@@ -83,7 +84,8 @@
 	copy(e.order[at+1:], e.order[at:])
 	e.order[at] = j
 	c := e.class(j.Class)
-	c.lastAt, c.spec = now, &j.Spec
+	c.arrived(now, j.Count(pipeline.Waiting))
+	c.spec = &j.Spec
 	j.Settle()
 	e.replan = true
 }
@@ -277,6 +279,7 @@
 	e.moveAttempt(now, m, a, fleet.Exited)
 	a.Cause = t.Cause
 	if t.Cause == fleet.CauseDone {
+		e.debug("attempt done", "job", a.Ref, "task", a.Task, "machine", m.Name)
 		m.Errors = 0
 		clear(m.ErrorJobs)
 		if j == nil || j.Phase() != pipeline.Active || a.Task >= len(j.Tasks) {
