--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -156,7 +156,7 @@
 	out := append([]*pipeline.Job(nil), e.order...)
 	due := make(map[*pipeline.Job]time.Time, len(out))
 	for _, j := range out {
-		due[j] = e.dueStart(now, j)
+		due[j] = e.dueStart(now, j).Add(e.workLeft(j) / sizeWeight)
 	}
 	sort.SliceStable(out, func(i, k int) bool {
 		a, b := out[i], out[k]
@@ -215,6 +215,16 @@
 	return j.Submitted.Add(noAim)
 }
 
+// sizeWeight says how a job's size counts against it: so many machine-seconds
+// of its tasks weigh as much as a second of its due time. When not all can be in
+// time, more jobs are if the small ones go first.
+const sizeWeight = 8
+
+// workLeft is the run time of all tasks of a job that aren't done.
+func (e *Engine) workLeft(j *pipeline.Job) time.Duration {
+	return e.expectedRun(j) * time.Duration(len(j.Tasks)-j.Count(pipeline.Finished))
+}
+
 // expectedRun is how long a task of the job is expected to run: its owner's
 // estimate, corrected by what its class taught.
 func (e *Engine) expectedRun(j *pipeline.Job) time.Duration {
