--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -218,7 +218,7 @@
 // sizeWeight says how a job's size counts against it: so many machine-seconds
 // of its tasks weigh as much as a second of its due time. When not all can be in
 // time, more jobs are if the small ones go first.
-const sizeWeight = 8
+const sizeWeight = 3
 
 // workLeft is the run time of all tasks of a job that aren't done.
 func (e *Engine) workLeft(j *pipeline.Job) time.Duration {
