--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -29,13 +29,16 @@
 
 const callTimeout = 4 * time.Second
 
+// burst is how many seconds' worth of requests may go at once; the cloud allows two.
+const burst = 1.5
+
 // New makes a client that stays within a rate.
 func New(addr string, rps float64) *Client {
 	return &Client{
 		http: &fasthttp.HostClient{Addr: addr, MaxConns: 6, ReadTimeout: callTimeout, WriteTimeout: callTimeout,
 			MaxIdleConnDuration: time.Minute, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 			MaxResponseBodySize: 4 << 20},
-		reqs: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		reqs: rate.NewLimiter(rate.Limit(rps), max(1, int(rps*burst))),
 	}
 }
 
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -298,7 +298,7 @@
 
 // rent asks for machines for work that nothing has room for.
 func (e *Engine) rent(now time.Time, demand []capacity.Demand, slots []*placement.Slot) {
-	if now.Sub(e.started) < 2*e.cfg.ReportEvery {
+	if now.Sub(e.started) < e.cfg.ReportEvery*5/4 {
 		return // machines may be there that haven't been heard of yet
 	}
 	for _, o := range e.plan.Choose(now, demand, slots, e.catalog) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,11 +44,12 @@
 	started time.Time
 }
 
-// Parts of the state service's rates that one node may use: the leader needs
+// Parts of the outside services' rates that one node may use: the leader needs
 // most of what there is, and a takeover's overlap is short.
 const (
 	requestPart = 0.45
 	writePart   = 0.45
+	cloudPart   = 0.85 // only the leader uses the cloud, but for the machine types
 )
 
 // leaseTTL is how long a leader's right lasts without renewal. Shorter ones
@@ -74,7 +75,7 @@
 	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
 		Requests: p.State.RPS * requestPart, Writes: p.State.WriteRPS * writePart})
 	d.jobs = jobstore.New(d.store)
-	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*0.7)
+	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*cloudPart)
 	d.orders = newOrderSender()
 	addrs := map[string]string{}
 	for _, q := range cfg.Peers {
--- a/internal/daemon/outside.go
+++ b/internal/daemon/outside.go
@@ -89,7 +89,8 @@
 
 // listLoop reads the cloud's list and the present prices.
 func (r *reign) listLoop() error {
-	every := max(2*time.Second, time.Duration(4/r.d.cfg.Params.Cloud.RPS*float64(time.Second)))
+	// More often than the list's lag says little new, and takes calls from rentals.
+	every := max(2*time.Second, r.d.core.ListLag/2)
 	const pricesEvery = 20 * time.Second
 	var prices time.Time
 	for {
