--- /dev/null
+++ b/internal/agentapi/agentapi_test.go
@@ -0,0 +1,100 @@
+package agentapi
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/wire"
+)
+
+// leader is the leading node as a test sets it.
+type leader struct {
+	here    bool
+	name    string
+	reply   core.Reply
+	relayed int
+	broken  bool
+	reports int
+}
+
+func (l *leader) Report(fleet.Report) (core.Reply, bool) {
+	if l.here {
+		l.reports++
+	}
+	return l.reply, l.here
+}
+
+func (l *leader) Name() string { return l.name }
+
+func (l *leader) RelayReport(context.Context, []byte) (int, []byte, error) {
+	l.relayed++
+	if l.broken {
+		return 0, nil, errors.New("cut off")
+	}
+	return 200, []byte{1}, nil
+}
+
+func beat(machine string) []byte {
+	return wire.MustMarshal(map[string]any{"stall": machine, "endpoint": "x:1", "build": "g8", "yard": "a", "loaners": true,
+		"shift": 1, "tick": 1, "gavel": 0, "lots": []any{}})
+}
+
+func TestBeat(t *testing.T) {
+	ctx := context.Background()
+	l := &leader{}
+	s := &Service{Self: "n-0", Leader: l}
+	if a := s.Beat(ctx, []byte("nonsense"), false); a.Status != 400 || l.reports != 0 {
+		t.Fatalf("malformed report: %d", a.Status)
+	}
+	// Not entitled, and no leader known: never a 200, which would keep the worker.
+	if a := s.Beat(ctx, beat("m-1"), false); a.Status != 503 {
+		t.Fatalf("no leader: %d", a.Status)
+	}
+	l.name = "n-0" // this node, but not entitled at the moment
+	if a := s.Beat(ctx, beat("m-1"), false); a.Status != 503 {
+		t.Fatalf("not entitled: %d", a.Status)
+	}
+	l.here, l.reply = true, core.Reply{OK: true, Token: 7}
+	var o wire.Orders
+	if a := s.Beat(ctx, beat("m-1"), false); a.Status != 200 || wire.Unmarshal(a.Body, &o) != nil || o.Gavel != 7 {
+		t.Fatalf("entitled: %d, %+v", a.Status, o)
+	}
+	l.reply = core.Reply{}
+	if a := s.Beat(ctx, beat("m-1"), false); a.Status != 503 {
+		t.Fatalf("refused by the core: %d", a.Status)
+	}
+}
+
+// A worker that comes back from being sent to the leader evidently can't reach
+// it: sent in circles, it would lose its tasks when its lease ends.
+func TestRelayForWorkersThatComeBack(t *testing.T) {
+	ctx := context.Background()
+	l := &leader{name: "n-1"}
+	s := &Service{Self: "n-0", Leader: l}
+	var r wire.Redirect
+	if a := s.Beat(ctx, beat("m-1"), false); a.Status != 421 || wire.Unmarshal(a.Body, &r) != nil || r.Clerk != "n-1" {
+		t.Fatalf("first report: %d, %+v", a.Status, r)
+	}
+	if a := s.Beat(ctx, beat("m-2"), false); a.Status != 421 {
+		t.Fatalf("another worker's first report: %d", a.Status)
+	}
+	for range 3 {
+		if a := s.Beat(ctx, beat("m-1"), false); a.Status != 200 {
+			t.Fatalf("back again: %d", a.Status)
+		}
+	}
+	if l.relayed != 3 {
+		t.Fatalf("%d relayed", l.relayed)
+	}
+	l.broken = true
+	if a := s.Beat(ctx, beat("m-1"), false); a.Status != 503 {
+		t.Fatalf("relay fails: %d", a.Status)
+	}
+	// What another node passed on goes no further.
+	if a := s.Beat(ctx, beat("m-2"), true); a.Status != 503 || l.relayed != 4 {
+		t.Fatalf("relayed twice: %d", a.Status)
+	}
+}
--- /dev/null
+++ b/internal/userapi/userapi_test.go
@@ -0,0 +1,137 @@
+package userapi
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/wire"
+)
+
+// world is the job store and the leader in one.
+type world struct {
+	jobs    map[string]jobstore.State
+	down    bool
+	view    map[string]core.JobView
+	created []pipeline.Spec
+	cancel  error
+}
+
+var errDown = errors.New("store is down")
+
+func (w *world) Create(_ context.Context, s pipeline.Spec, _ time.Time) error {
+	if w.down {
+		return errDown
+	}
+	if w.jobs[s.Ref].Found {
+		return jobstore.ErrExists
+	}
+	w.created = append(w.created, s)
+	return nil
+}
+
+func (w *world) Load(_ context.Context, ref string) (jobstore.State, error) {
+	if w.down {
+		return jobstore.State{}, errDown
+	}
+	return w.jobs[ref], nil
+}
+
+func (w *world) View(ref string) (core.JobView, bool) { v, ok := w.view[ref]; return v, ok }
+
+func (w *world) Ask(context.Context, string) (core.JobView, bool) { return core.JobView{}, false }
+
+func (w *world) Cancel(context.Context, string) (pipeline.Phase, error) {
+	return pipeline.Cancelled, w.cancel
+}
+
+func submission(change map[string]any) []byte {
+	m := map[string]any{"ref": "j-000001", "lot_kind": "c", "owner": "t", "shape": "sweep", "urgency": "normal", "lots": 2, "vcpus": 4.0,
+		"cards": 0.0, "mem_gb": 8.0, "kit": "i", "pull_gb": 1.0, "builds": []string{"cpu", "old", "cpu"}, "one_zone": false, "apart": false,
+		"loaners": false, "guess_s": 10.0, "mark_s": 0.0, "stash_s": 0.0}
+	for k, v := range change {
+		m[k] = v
+	}
+	return wire.MustMarshal(m)
+}
+
+func service(w *world) *Service {
+	return &Service{Jobs: w, Leader: w, Teams: map[string]placement.Team{"t": {CPUsMax: 6}}, Zones: []string{"a"},
+		Catalog: func() placement.Catalog {
+			return placement.Catalog{"cpu": {Name: "cpu", CPUs: 8, MemGB: 32, Zones: []string{"a"}}}
+		}}
+}
+
+func TestSubmit(t *testing.T) {
+	ctx := context.Background()
+	known := jobstore.State{Found: true, Over: true, Phase: pipeline.Done, Done: 2}
+	w := &world{jobs: map[string]jobstore.State{"j-000002": known}}
+	s := service(w)
+	for _, c := range []struct {
+		name   string
+		change map[string]any
+		want   int
+	}{
+		{"good", nil, 201},
+		{"malformed", map[string]any{"ref": "x"}, 400},
+		{"unknown team", map[string]any{"owner": "u"}, 422},
+		{"fits nowhere", map[string]any{"vcpus": 9.0}, 422},
+		{"gang above the limit", map[string]any{"shape": "ensemble"}, 422},
+		{"known", map[string]any{"ref": "j-000002"}, 200},
+		// An accepted job must not be refused, whatever became of teams and types.
+		{"known, now impossible", map[string]any{"ref": "j-000002", "owner": "u"}, 200},
+	} {
+		if a := s.Submit(ctx, submission(c.change)); a.Status != c.want {
+			t.Errorf("%s: %d, want %d", c.name, a.Status, c.want)
+		}
+	}
+	if len(w.created) != 1 || len(w.created[0].Types) != 1 {
+		t.Fatalf("created %+v", w.created)
+	}
+	// What can't be stored isn't accepted, and the user is told when to come back.
+	w.down = true
+	for _, change := range []map[string]any{nil, {"owner": "u"}} {
+		if a := s.Submit(ctx, submission(change)); a.Status != 503 || !a.RetryAfter {
+			t.Errorf("store down: %+v", a)
+		}
+	}
+	s.Catalog = func() placement.Catalog { return nil }
+	w.down = false
+	if a := s.Submit(ctx, submission(nil)); a.Status != 503 {
+		t.Errorf("types unknown: %d", a.Status)
+	}
+}
+
+func TestGetAndWithdraw(t *testing.T) {
+	ctx := context.Background()
+	w := &world{jobs: map[string]jobstore.State{"j-000002": {Found: true, Phase: pipeline.Cancelled}},
+		view: map[string]core.JobView{"j-000003": {Phase: pipeline.Active, Running: 1, Done: 4}}}
+	s := service(w)
+	for ref, want := range map[string]string{"j-000002": "aborted", "j-000003": "running"} {
+		a := s.Get(ctx, ref)
+		if st, ok := a.Body.(wire.RunState); a.Status != 200 || !ok || st.Status != want {
+			t.Errorf("%s: %+v", ref, a)
+		}
+	}
+	if a := s.Get(ctx, "j-000009"); a.Status != 404 {
+		t.Errorf("unknown job: %d", a.Status)
+	}
+	if a := s.Get(ctx, "nonsense"); a.Status != 404 {
+		t.Errorf("malformed id: %d", a.Status)
+	}
+	w.down = true
+	if a := s.Get(ctx, "j-000009"); a.Status != 503 {
+		t.Errorf("404 without asking the store: %d", a.Status)
+	}
+	for err, want := range map[error]int{nil: 200, jobstore.ErrUnknownJob: 404, jobstore.ErrNotOurs: 503, errDown: 503} {
+		w.cancel = err
+		if a := s.Withdraw(ctx, "j-000002"); a.Status != want {
+			t.Errorf("withdraw with %v: %d, want %d", err, a.Status, want)
+		}
+	}
+}
