--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -16,12 +16,9 @@
 // Config is what the core needs of the settings.
 type Config struct {
 	Teams        map[string]placement.Team
-	Zones        []string
 	Aims         map[string][]Aim // by class of jobs
 	ReportEvery  time.Duration
 	Lease        time.Duration
-	GangWait     time.Duration
-	GangPeers    time.Duration
 	CancelWithin time.Duration
 	ListLag      time.Duration
 	RestartLimit int           // bad exits of a task before it is held back
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -84,7 +84,7 @@
 
 // Possible tells whether a job could ever run: some allowed type, in an allowed
 // zone, fits a task, and the team's limit allows what has to run at once.
-func Possible(s *pipeline.Spec, team Team, c Catalog, zones []string) bool {
+func Possible(s *pipeline.Spec, team Team, c Catalog) bool {
 	n := 1.0
 	if s.Shape != pipeline.Array {
 		n = float64(s.Tasks)
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -30,7 +30,7 @@
 		{"type not in the zone", pipeline.Spec{Tasks: 1, GPUs: 1, Zone: "b"}, false},
 		{"unknown zone", pipeline.Spec{Tasks: 1, CPUs: 1, Zone: "c"}, false},
 	} {
-		if got := Possible(&c.spec, limit, types, []string{"a", "b"}); got != c.want {
+		if got := Possible(&c.spec, limit, types); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -19,8 +19,8 @@
 }
 
 func config() Config {
-	return Config{Teams: map[string]placement.Team{"t": {}}, Zones: []string{"a"}, ReportEvery: 3 * time.Second, Lease: 30 * time.Second,
-		GangWait: 30 * time.Second, GangPeers: 4 * time.Second, CancelWithin: 60 * time.Second, ListLag: 4 * time.Second, RestartLimit: 3,
+	return Config{Teams: map[string]placement.Team{"t": {}}, ReportEvery: 3 * time.Second, Lease: 30 * time.Second,
+		CancelWithin: 60 * time.Second, ListLag: 4 * time.Second, RestartLimit: 3,
 		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 100}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,9 +62,8 @@
 	p := &cfg.Params
 	d := &Daemon{cfg: cfg, started: time.Now()}
 	d.core = core.Config{
-		Teams: map[string]placement.Team{}, Zones: p.Zones, Aims: aims(p.Aims),
+		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
-		GangWait: p.Workers.GangWait.Duration(), GangPeers: p.Workers.GangPeer.Duration(),
 		CancelWithin: p.Workers.Cancel.Duration(), ListLag: p.Cloud.ListLag.Duration(),
 		RestartLimit: 3, BatchEvery: 2 * time.Second, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
 	}
@@ -87,7 +86,7 @@
 	}
 	d.lead = leadership.New(d.store, leadership.Options{Member: cfg.Member, TTL: leaseTTL,
 		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf}})
-	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams, Zones: p.Zones}
+	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams}
 	d.agents = &agentapi.Service{Self: cfg.Member, Leader: agentLeader{d}}
 	return d, nil
 }
--- a/internal/userapi/userapi.go
+++ b/internal/userapi/userapi.go
@@ -38,7 +38,6 @@
 	Leader  Leader
 	Catalog func() placement.Catalog
 	Teams   map[string]placement.Team
-	Zones   []string
 }
 
 // Answer is the answer to a call; a nil body is none.
@@ -67,7 +66,7 @@
 		return later()
 	}
 	team, known := s.Teams[spec.Team]
-	if !known || !placement.Possible(&spec, team, catalog, s.Zones) {
+	if !known || !placement.Possible(&spec, team, catalog) {
 		// A job accepted earlier must never be refused, whatever changed since.
 		st, err := s.Jobs.Load(ctx, spec.Ref)
 		switch {
