--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -24,6 +24,10 @@
 	Serve       serveCmd       `cmd:"" default:"withargs" help:"Run a controller with the platform's settings file."`
 	CheckConfig checkConfigCmd `cmd:"" name:"check-config" help:"Check a settings file without starting anything."`
 	Version     versionCmd     `cmd:"" help:"Print the version."`
+	Submit      submitCmd      `cmd:"" help:"Submit a job."`
+	Get         getCmd         `cmd:"" help:"Print a job's state."`
+	Cancel      cancelCmd      `cmd:"" help:"Cancel a job, unless it is done."`
+	Wait        waitCmd        `cmd:"" help:"Wait until a job is done or cancelled."`
 }
 
 type serveCmd struct {
@@ -82,6 +86,10 @@
 	ctx := kong.Parse(&c, kong.Name("gingertally"), kong.Description("A cluster scheduler: pipelines of jobs on rented machines."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "gingertally:", err)
+		var e exitError
+		if errors.As(err, &e) {
+			os.Exit(e.code)
+		}
 		os.Exit(1)
 	}
 }
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -282,3 +282,30 @@
 		t.Fatalf("the jobs don't go on elsewhere: %v", s)
 	}
 }
+
+// What a finished job still has on machines counts against its team's limit:
+// the random tests once found a team above it.
+func TestQuotaCountsJobsThatAreOver(t *testing.T) {
+	gang := job("j-1", 2)
+	gang.Record.Spec.Shape, gang.Record.Spec.CPUs = pipeline.Gang, 8
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{gang}})
+	if b.e.HasLive() {
+		t.Fatal("machines are believed up that nobody has heard of")
+	}
+	b.report("m-1", 0)
+	b.report("m-2", 0)
+	b.pass(6*time.Second, true)
+	one, two := starts(b.report("m-1", 2)), starts(b.report("m-2", 2))
+	if len(one) != 1 || len(two) != 1 || one[0].Attempt != two[0].Attempt {
+		t.Fatalf("starts %v and %v", one, two)
+	}
+	b.report("m-2", 2, running(two[0]))
+	b.report("m-1", 2, fleet.TaskReport{Ref: "j-1", Task: one[0].Task, Attempt: one[0].Attempt, State: fleet.Exited, Cause: fleet.CauseDone})
+	b.pass(time.Second, true)
+	if v, ok := b.e.Lookup("j-1"); !ok || v.Phase != pipeline.Done {
+		t.Fatalf("view %v, %v", v, ok)
+	}
+	if c, _ := b.e.usage("t"); c != 8 {
+		t.Fatalf("%g CPUs counted while one task is still there", c)
+	}
+}
