--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -319,6 +319,7 @@
 	idleUseless = 10 * time.Second
 	idleUseful  = 10 * time.Second
 	idleDollars = 0.1
+	idleMost    = 40 * time.Second
 )
 
 // giveBack releases machines that have been idle too long.
@@ -333,7 +334,7 @@
 		}
 		keep := idleUseless
 		if e.useful(now, m, t) {
-			keep = idleUseful + time.Duration(idleDollars/max(t.Price(m.Spot), 0.01)*float64(time.Hour))
+			keep = min(idleUseful+time.Duration(idleDollars/max(t.Price(m.Spot), 0.01)*float64(time.Hour)), idleMost)
 		}
 		if now.Sub(m.IdleSince) > keep {
 			e.release(now, m, "idle")
