--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -333,8 +333,11 @@
 			continue
 		}
 		keep := idleUseless
-		if e.useful(now, m, t) {
-			keep = min(idleUseful+time.Duration(idleDollars/max(t.Price(m.Spot), 0.01)*float64(time.Hour)), idleMost)
+		if last := e.lastUse(now, m, t); !last.IsZero() {
+			keep = idleUseful + time.Duration(idleDollars/max(t.Price(m.Spot), 0.01)*float64(time.Hour))
+			if now.Sub(last) > idleMost {
+				keep = min(keep, idleMost)
+			}
 		}
 		if now.Sub(m.IdleSince) > keep {
 			e.release(now, m, "idle")
@@ -353,12 +356,15 @@
 	return false
 }
 
-// useful tells whether jobs of a class seen of late could run on the machine.
-func (e *Engine) useful(now time.Time, m *fleet.Machine, t *placement.Type) bool {
+// lastUse is when a job last came that could run on the machine; zero if that is
+// long ago.
+func (e *Engine) lastUse(now time.Time, m *fleet.Machine, t *placement.Type) time.Time {
+	var last time.Time
 	for _, c := range e.classes {
-		if now.Sub(c.lastAt) < recentClass && c.spec != nil && t.Fits(c.spec) && c.spec.AllowsType(t.Name) && (c.spec.Spot || !m.Spot) {
-			return true
+		if now.Sub(c.lastAt) < recentClass && c.lastAt.After(last) && c.spec != nil && t.Fits(c.spec) &&
+			c.spec.AllowsType(t.Name) && (c.spec.Spot || !m.Spot) {
+			last = c.lastAt
 		}
 	}
-	return false
+	return last
 }
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -309,3 +309,24 @@
 		t.Fatalf("%g CPUs counted while one task is still there", c)
 	}
 }
+
+// A machine that nothing needs is given back within a minute, however cheap it
+// is: a longer wait once failed the users' check of that.
+func TestIdleMachineIsGivenBack(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	done := fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseDone}
+	b.report("m-1", 2, done)
+	b.pass(time.Second, true)
+	b.report("m-1", 2, done)
+	b.report("m-1", 2)
+	idle := b.now
+	for b.now.Sub(idle) < time.Minute {
+		b.now = b.now.Add(time.Second)
+		b.report("m-1", 2)
+		if eff := b.e.Step(b.now, Tick{}); len(eff.Release) > 0 {
+			return
+		}
+	}
+	t.Fatal("kept for a minute with nothing to do")
+}
