--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -83,21 +83,24 @@
 }
 
 // Choose plans what to rent for work that nothing has room for, after what the
-// given slots, of live and of booting machines, will take of it.
-func (p *Plan) Choose(now time.Time, demand []Demand, slots []*placement.Slot, c placement.Catalog) []Order {
-	g := &planning{plan: p, now: now, catalog: c, slots: slots, used: map[Offer]bool{}}
+// machines on the floor, live and booting, will take of it. Reservations don't
+// count: the jobs that room is kept for are among the demand.
+func (p *Plan) Choose(now time.Time, demand []Demand, floor *placement.Floor, c placement.Catalog) []Order {
+	g := &planning{plan: p, now: now, catalog: c, floor: floor, copies: map[*placement.Slot]*placement.Slot{}, orders: map[Offer]int{}}
 	for o, n := range p.asking {
 		if t := c[o.Type]; t != nil {
 			g.add(t, o, n)
 		}
 	}
-	for _, s := range slots {
-		s.Unreserve()
-	}
 	for _, d := range demand {
 		g.meet(d)
 	}
-	return g.orders
+	out := make([]Order, 0, len(g.orders))
+	for o, n := range g.orders {
+		out = append(out, Order{o, n})
+	}
+	sort.Slice(out, func(i, k int) bool { return before(out[i].Offer, out[k].Offer) })
+	return out
 }
 
 // planning is one plan in the making.
@@ -105,18 +108,42 @@
 	plan    *Plan
 	now     time.Time
 	catalog placement.Catalog
-	slots   []*placement.Slot
-	used    map[Offer]bool
-	orders  []Order
+	floor   *placement.Floor
+	copies  map[*placement.Slot]*placement.Slot // of the floor's, with what is planned for them
+	extra   []*placement.Slot                   // of machines asked for, or about to be
+	orders  map[Offer]int
 }
 
-func (g *planning) add(t *placement.Type, o Offer, n int) []*placement.Slot {
-	from := len(g.slots)
+func (g *planning) add(t *placement.Type, o Offer, n int) {
 	for range n {
-		g.slots = append(g.slots, &placement.Slot{Type: t, Zone: o.Zone, Spot: o.Spot, CPUs: t.CPUs, GPUs: t.GPUs, MemG: t.MemGB,
-			Room: math.MaxInt32, Future: true})
+		g.extra = append(g.extra, &placement.Slot{Type: t, Zone: o.Zone, Spot: o.Spot, CPUs: t.CPUs, GPUs: t.GPUs, MemG: t.MemGB, Future: true})
+	}
+}
+
+// each calls fn for each slot that may have room for a task of the job, until it
+// returns false.
+func (g *planning) each(j *pipeline.Job, zone string, fn func(*placement.Slot) bool) {
+	more := true
+	g.floor.EachRoomy(&j.Spec, zone, func(s *placement.Slot) bool {
+		if j.BadOn[s.Machine.Name] {
+			return true // it won't be placed there again
+		}
+		c := g.copies[s]
+		if c == nil {
+			c = s.Plain()
+			g.copies[s] = c
+		}
+		more = fn(c)
+		return more
+	})
+	for _, s := range g.extra {
+		if !more {
+			return
+		}
+		if (zone == "" || s.Zone == zone) && s.Allowed(&j.Spec) {
+			more = fn(s)
+		}
 	}
-	return g.slots[from:]
 }
 
 // meet books a demand on what is there or coming, and orders the rest.
@@ -129,7 +156,7 @@
 	if d.Job.OneZone {
 		only = g.zoneFor(d, zones)
 	}
-	left := fill(d.Job, d.Tasks, g.slots, zones, only)
+	left := g.fill(d.Job, d.Tasks, zones, only)
 	for left > 0 {
 		o, t, ok := g.cheapest(d.Job, left, zones, only)
 		if !ok {
@@ -137,22 +164,22 @@
 		}
 		per := t.Capacity(&d.Job.Spec)
 		want := min(left, placement.ZoneRoom(d.Job, o.Zone, zones))
-		n := min((want+per-1)/per, maxPerRequest)
-		g.orders = append(g.orders, Order{o, n})
-		g.used[o] = true
-		left = fill(d.Job, left, g.add(t, o, n), zones, only)
+		n := min((want+per-1)/per, maxPerRequest-g.orders[o])
+		g.orders[o] += n
+		g.add(t, o, n)
+		left = g.fill(d.Job, left, zones, only)
 	}
 }
 
 // zoneFor picks the zone for a job that must stay in one: where its tasks are,
 // else where the least is missing of those where something can be had.
 func (g *planning) zoneFor(d Demand, zones map[string]int) string {
+	names := map[string]bool{}
 	for z, n := range zones {
 		if n > 0 {
 			return z
 		}
 	}
-	names := map[string]bool{}
 	for _, t := range g.catalog {
 		for _, z := range t.Zones {
 			names[z] = true
@@ -165,12 +192,11 @@
 	sort.Strings(sorted)
 	best, least := "", math.MaxInt
 	for _, z := range sorted {
-		var copies []*placement.Slot
-		for _, s := range g.slots {
-			c := *s
-			copies = append(copies, &c)
-		}
-		left := fill(d.Job, d.Tasks, copies, map[string]int{}, z)
+		left := d.Tasks
+		g.each(d.Job, z, func(s *placement.Slot) bool {
+			left = max(0, left-s.Free(&d.Job.Spec))
+			return left > 0
+		})
 		if left > 0 {
 			if _, _, ok := g.cheapest(d.Job, left, nil, z); !ok {
 				continue
@@ -184,18 +210,15 @@
 }
 
 // fill books tasks of a job on slots and returns how many are left.
-func fill(j *pipeline.Job, left int, slots []*placement.Slot, zones map[string]int, only string) int {
-	for _, s := range slots {
-		if s.Machine != nil && j.BadOn[s.Machine.Name] {
-			continue // it won't be placed there again
-		}
-		for left > 0 && (only == "" || s.Zone == only) && s.Allowed(&j.Spec) && s.Free(&j.Spec) > 0 &&
-			placement.ZoneRoom(j, s.Zone, zones) > 0 {
+func (g *planning) fill(j *pipeline.Job, left int, zones map[string]int, only string) int {
+	g.each(j, only, func(s *placement.Slot) bool {
+		for left > 0 && s.Free(&j.Spec) > 0 && placement.ZoneRoom(j, s.Zone, zones) > 0 {
 			s.Take(&j.Spec)
 			zones[s.Zone]++
 			left--
 		}
-	}
+		return left > 0
+	})
 	return left
 }
 
@@ -215,7 +238,7 @@
 			}
 			for _, spot := range [2]bool{false, true} {
 				o := Offer{t.Name, z, spot}
-				if (spot && !j.Spot) || g.used[o] || !g.plan.open(g.now, o) {
+				if (spot && !j.Spot) || g.orders[o] >= maxPerRequest || !g.plan.open(g.now, o) {
 					continue
 				}
 				cost := t.Price(spot) / float64(min(per, left))
@@ -232,5 +255,8 @@
 	if a.Type != b.Type {
 		return a.Type < b.Type
 	}
-	return a.Zone < b.Zone
+	if a.Zone != b.Zone {
+		return a.Zone < b.Zone
+	}
+	return !a.Spot && b.Spot
 }
--- a/internal/core/capacity/capacity_test.go
+++ b/internal/core/capacity/capacity_test.go
@@ -28,19 +28,19 @@
 func TestChoosesTheCheapestOpenOffer(t *testing.T) {
 	var p Plan
 	j := job(t, pipeline.Spec{Tasks: 3, CPUs: 8, Spot: true})
-	o := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, nil, types)
+	o := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, &placement.Floor{}, types)
 	if len(o) != 1 || o[0] != (Order{Offer{"cpu", "a", true}, 3}) {
 		t.Fatalf("orders %v", o)
 	}
 	p.Asked(o[0].Offer, 3)
-	if again := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, nil, types); len(again) != 0 {
+	if again := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, &placement.Floor{}, types); len(again) != 0 {
 		t.Fatalf("asked again while asking: %v", again)
 	}
 	p.Answered(now, o[0].Offer, 3, 0, true, false)
-	if o := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, nil, types); len(o) != 1 || o[0].Offer != (Offer{"cpu", "b", true}) {
+	if o := p.Choose(now, []Demand{{Job: j, Tasks: 3}}, &placement.Floor{}, types); len(o) != 1 || o[0].Offer != (Offer{"cpu", "b", true}) {
 		t.Fatalf("after a refusal: %v", o)
 	}
-	if o := p.Choose(now.Add(refusedFirst+time.Second), []Demand{{Job: j, Tasks: 3}}, nil, types); o[0].Offer.Zone != "a" {
+	if o := p.Choose(now.Add(refusedFirst+time.Second), []Demand{{Job: j, Tasks: 3}}, &placement.Floor{}, types); o[0].Offer.Zone != "a" {
 		t.Fatalf("after the pause: %v", o)
 	}
 }
@@ -51,14 +51,14 @@
 	var p Plan
 	j := job(t, pipeline.Spec{Tasks: 4, CPUs: 8, Shape: pipeline.Gang, Spread: true})
 	per := map[string]int{}
-	for _, o := range p.Choose(now, []Demand{{Job: j, Tasks: 4}}, nil, types) {
+	for _, o := range p.Choose(now, []Demand{{Job: j, Tasks: 4}}, &placement.Floor{}, types) {
 		per[o.Offer.Zone] += o.Count
 	}
 	if per["a"] != 2 || per["b"] != 2 {
 		t.Fatalf("machines by zone: %v", per)
 	}
 	one := job(t, pipeline.Spec{Tasks: 4, CPUs: 8, Shape: pipeline.Gang, OneZone: true})
-	orders := p.Choose(now, []Demand{{Job: one, Tasks: 4}}, nil, types)
+	orders := p.Choose(now, []Demand{{Job: one, Tasks: 4}}, &placement.Floor{}, types)
 	for _, o := range orders {
 		if o.Offer.Zone != orders[0].Offer.Zone {
 			t.Fatalf("orders in several zones: %v", orders)
@@ -69,14 +69,26 @@
 // Room on a machine where the job failed is none: the plan once waited for it.
 func TestRoomOnBadMachineIsNone(t *testing.T) {
 	m := fleet.NewMachine(now, "m-1", "cpu", "a", false, fleet.Live)
-	slot := placement.NewSlot(m, types["cpu"], 50)
+	floor := &placement.Floor{}
+	floor.Set(m, types["cpu"], false)
 	j := job(t, pipeline.Spec{Tasks: 1, CPUs: 8})
-	if o := new(Plan).Choose(now, []Demand{{Job: j, Tasks: 1}}, []*placement.Slot{slot}, types); len(o) != 0 {
+	if o := new(Plan).Choose(now, []Demand{{Job: j, Tasks: 1}}, floor, types); len(o) != 0 {
 		t.Fatalf("rents although there is room: %v", o)
 	}
-	slot = placement.NewSlot(m, types["cpu"], 50)
 	j.BadOn["m-1"] = true
-	if o := new(Plan).Choose(now, []Demand{{Job: j, Tasks: 1}}, []*placement.Slot{slot}, types); len(o) != 1 {
+	if o := new(Plan).Choose(now, []Demand{{Job: j, Tasks: 1}}, floor, types); len(o) != 1 {
 		t.Fatalf("waits for room that it won't use: %v", o)
 	}
 }
+
+// The needs of several jobs go into one request for an offer, rather than the
+// second job's into a dearer offer.
+func TestDemandsShareAnOrder(t *testing.T) {
+	var d []Demand
+	for range 5 {
+		d = append(d, Demand{Job: job(t, pipeline.Spec{Tasks: 2, CPUs: 8, Spot: true}), Tasks: 2})
+	}
+	if o := new(Plan).Choose(now, d, &placement.Floor{}, types); len(o) != 1 || o[0] != (Order{Offer{"cpu", "a", true}, 10}) {
+		t.Fatalf("orders %v", o)
+	}
+}
--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"gingertally/internal/core/fleet"
@@ -21,6 +22,8 @@
 	moveOverhead = 4 * time.Second
 	// moveGain is how many times its cost a move must save.
 	moveGain = 3.0
+	// emptiedPart is the part of the fleet that may be emptied at once.
+	emptiedPart = 25
 	// rateWindow smooths the observed arrivals.
 	rateWindow = time.Minute
 )
@@ -39,116 +42,182 @@
 	return c.rate * math.Exp(-now.Sub(c.lastAt).Seconds()/rateWindow.Seconds())
 }
 
-// consolidate empties the machine whose emptying saves the most, if its tasks
-// have room elsewhere and what stays free is enough for the arrivals of a boot
-// time.
-func (e *Engine) consolidate(now time.Time, slots []*placement.Slot) {
+// consolidate empties the machines whose emptying saves the most, a few at a
+// time, if their tasks have room elsewhere and what stays free is enough for the
+// arrivals of a boot time.
+func (e *Engine) consolidate(now time.Time) {
 	if now.Sub(e.movedAt) < consolidateEvery {
 		return
 	}
-	for _, m := range e.machines {
-		if m.Draining && m.State() == fleet.Live && m.Busy() > 0 {
-			return // one at a time
+	e.movedAt = now
+	for m := range e.emptying {
+		if m.State() != fleet.Live || m.Busy() == 0 {
+			delete(e.emptying, m)
 		}
 	}
-	var best *placement.Slot
-	most := 0.0
-	for _, s := range slots {
-		if gain := e.gainOfMoving(now, s, slots); gain > most {
-			best, most = s, gain
+	atOnce := max(1, e.floor.Size()/emptiedPart) - len(e.emptying)
+	mv := &moving{e: e, now: now, copies: map[*placement.Slot]*placement.Slot{},
+		left: map[*placement.Slot]bool{}, targets: map[*fleet.Machine]bool{}}
+	candidates := mv.candidates()
+	for _, c := range candidates[:min(len(candidates), 3*max(atOnce, 0))] {
+		if atOnce <= 0 {
+			return
 		}
+		if !mv.haveRoom(c.slot, c.jobs) {
+			continue
+		}
+		atOnce--
+		m := c.slot.Machine
+		e.emptying[m] = true
+		e.note("machine emptied", "machine", m.Name, "type", m.Type, "tasks", m.Busy(), "saves", math.Round(c.gain*100)/100)
+		for _, a := range sortedAttempts(m) {
+			if j := e.jobs[a.Ref]; j != nil && a.State() != fleet.Exited {
+				e.stopOrderly(now, m, a, j)
+			}
+		}
+		e.drainMachine(now, m)
 	}
-	if best == nil {
-		return
-	}
-	m := best.Machine
-	e.movedAt, m.Draining = now, true
-	e.note("machine emptied", "machine", m.Name, "type", m.Type, "tasks", m.Busy(), "saves", math.Round(most*100)/100)
-	for _, a := range sortedAttempts(m) {
-		if j := e.jobs[a.Ref]; j != nil && a.State() != fleet.Exited {
-			e.stopOrderly(now, m, a, j)
+}
+
+// moving is one look at what could be moved.
+type moving struct {
+	e       *Engine
+	now     time.Time
+	copies  map[*placement.Slot]*placement.Slot // with what is to move there
+	left    map[*placement.Slot]bool            // slots that are being emptied
+	targets map[*fleet.Machine]bool             // machines that something is to move to
+}
+
+// candidate is a machine that might be emptied, with the jobs of its tasks and
+// what that would save in money.
+type candidate struct {
+	slot *placement.Slot
+	jobs []*pipeline.Job
+	gain float64
+}
+
+// candidates are the machines whose emptying saves something, the most first.
+func (v *moving) candidates() []candidate {
+	var out []candidate
+	for _, p := range v.e.floor.Pools {
+		for _, s := range p.Slots {
+			if s.Future || s.Machine.Busy() == 0 {
+				continue
+			}
+			if c := v.gain(s); c.gain > 0 {
+				out = append(out, c)
+			}
 		}
 	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].gain > out[k].gain })
+	return out
 }
 
-// gainOfMoving is what emptying a machine is expected to save in money, or 0 if
-// it can't be, or had better not be.
-func (e *Engine) gainOfMoving(now time.Time, s *placement.Slot, slots []*placement.Slot) float64 {
-	m := s.Machine
+// gain is what emptying a machine is expected to save, or 0 if it can't be
+// emptied, or had better not be.
+func (v *moving) gain(s *placement.Slot) candidate {
 	price := s.Type.Price(s.Spot) / 3600
 	var longest time.Duration
 	var moved []*pipeline.Job
 	cost := 0.0
-	for _, a := range m.Tasks {
+	for _, a := range s.Machine.Tasks {
 		if a.State() == fleet.Exited {
 			continue
 		}
-		j := e.jobs[a.Ref]
-		if j == nil || a.State() != fleet.Running || a.Stopping || j.Checkpoint == 0 || now.Sub(a.RunStart) < settledRun ||
+		j := v.e.jobs[a.Ref]
+		if j == nil || a.State() != fleet.Running || a.Stopping || j.Checkpoint == 0 || v.now.Sub(a.RunStart) < settledRun ||
 			(j.Shape == pipeline.Gang && len(j.Tasks) > 1) {
-			return 0
+			return candidate{}
 		}
-		left := e.expectedRun(j) - now.Sub(a.RunStart)
-		longest = max(longest, left)
+		longest = max(longest, v.e.expectedRun(j)-v.now.Sub(a.RunStart))
 		cost += placement.Share(s.Type, &j.Spec) * price * (j.Save + moveOverhead).Seconds()
 		moved = append(moved, j)
 	}
-	gain := price*longest.Seconds() - moveGain*cost
-	if len(moved) == 0 || gain <= 0 {
-		return 0
+	sort.Slice(moved, func(i, k int) bool { return moved[i].Ref < moved[k].Ref })
+	return candidate{s, moved, price*longest.Seconds() - moveGain*cost}
+}
+
+func (v *moving) copyOf(s *placement.Slot) *placement.Slot {
+	c := v.copies[s]
+	if c == nil {
+		c = s.Plain()
+		v.copies[s] = c
 	}
-	var others []*placement.Slot
-	for _, o := range slots {
-		if o != s {
-			c := *o
-			others = append(others, &c)
-		}
+	return c
+}
+
+// haveRoom books the jobs' tasks on other machines, if all have room and enough
+// stays free.
+func (v *moving) haveRoom(from *placement.Slot, jobs []*pipeline.Job) bool {
+	if v.targets[from.Machine] {
+		return false // others are to move there
 	}
-	for _, j := range moved {
-		if !takeBest(now, j, s, others) {
-			return 0
+	undo := map[*placement.Slot]placement.Slot{}
+	for _, j := range jobs {
+		to := v.best(j, from)
+		if to == nil {
+			v.restore(undo)
+			return false
 		}
+		if _, saved := undo[to]; !saved {
+			undo[to] = *to
+		}
+		to.Take(&j.Spec)
 	}
-	if !e.headroom(now, s.Type.Boot, others) {
-		return 0
+	v.left[from] = true
+	if !v.headroom(from.Type.Boot) {
+		v.left[from] = false
+		v.restore(undo)
+		return false
+	}
+	for to := range undo {
+		v.targets[to.Machine] = true
+	}
+	return true
+}
+
+func (v *moving) restore(undo map[*placement.Slot]placement.Slot) {
+	for s, was := range undo {
+		*s = was
 	}
-	return gain
 }
 
-// takeBest books a task on another machine that is in use, or much cheaper.
-func takeBest(now time.Time, j *pipeline.Job, from *placement.Slot, others []*placement.Slot) bool {
+// best is the best place for a task on another machine that is in use, or much
+// cheaper.
+func (v *moving) best(j *pipeline.Job, from *placement.Slot) *placement.Slot {
 	var best *placement.Slot
 	low := math.Inf(1)
-	for _, o := range others {
-		if !o.Allowed(&j.Spec) || o.Free(&j.Spec) < 1 || j.BadOn[o.Machine.Name] ||
+	v.e.floor.EachOpen(&j.Spec, "", func(o *placement.Slot) {
+		if o == from || v.left[o] || j.BadOn[o.Machine.Name] ||
 			(o.Machine.Busy() == 0 && o.Type.Price(o.Spot) > from.Type.Price(from.Spot)/2) ||
-			o.Machine.FetchLeft(now, j.Image, j.ImageGB, o.Type.FetchGBPerS) > moveOverhead {
-			continue
+			o.Machine.FetchLeft(v.now, j.Image, j.ImageGB, o.Type.FetchGBPerS) > moveOverhead {
+			return
 		}
-		if sc := placement.Score(now, o, j); sc < low {
-			best, low = o, sc
+		if c := v.copyOf(o); c.Free(&j.Spec) > 0 {
+			if sc := placement.Score(v.now, c, j); sc < low {
+				best, low = c, sc
+			}
 		}
-	}
-	if best == nil {
-		return false
-	}
-	best.Take(&j.Spec)
-	return true
+	})
+	return best
 }
 
-// headroom tells whether the slots have room for what is expected to arrive, of
-// each class, while a machine boots.
-func (e *Engine) headroom(now time.Time, boot time.Duration, slots []*placement.Slot) bool {
-	for _, c := range e.classes {
-		need := c.rateAt(now) * boot.Seconds()
+// headroom tells whether there is room for what is expected to arrive, of each
+// class, while a machine boots.
+func (v *moving) headroom(boot time.Duration) bool {
+	for _, c := range v.e.classes {
+		need := c.rateAt(v.now) * boot.Seconds()
 		if c.spec == nil || need < 0.1 {
 			continue
 		}
-		for _, s := range slots {
-			if s.Allowed(c.spec) {
+		v.e.floor.EachOpen(c.spec, "", func(s *placement.Slot) {
+			if !v.left[s] {
+				if o := v.copies[s]; o != nil {
+					s = o
+				}
 				need -= float64(s.Free(c.spec))
 			}
-		}
+		})
 		if need > 0 {
 			return false
 		}
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -11,91 +11,116 @@
 	"gingertally/internal/core/placement"
 )
 
-// entryBytes is about what one attempt takes in a machine's record.
-const entryBytes = 64
-
-// decideEvery bounds how often a round of decisions is begun without need.
-const decideEvery = time.Second
+// decideEvery bounds how often a round of decisions is begun without need,
+// planEvery how often rentals and returns are thought about, and room is kept or
+// made for what waits.
+const (
+	decideEvery = time.Second
+	planEvery   = time.Second
+)
 
 // settled tells whether a new leader has heard enough to place: all machines
-// that the records name, or one report period has passed.
+// that the start log names, or one report period has passed.
 func (e *Engine) settled(now time.Time) bool {
 	if now.Sub(e.started) > e.cfg.ReportEvery*5/4+time.Second {
 		return true
 	}
-	if len(e.machines) == 0 || e.lastList.IsZero() {
-		return false
-	}
-	for _, m := range e.machines {
-		if m.State() == fleet.Unheard {
-			return false
-		}
-	}
-	return true
+	return len(e.machines) > 0 && !e.lastList.IsZero() && e.unheard == 0
 }
 
+// waitsInRound is for how many jobs a round keeps or makes room.
+const waitsInRound = 8
+
 // decide runs a round of decisions, then plans what to rent and give back.
 func (e *Engine) decide(now time.Time, spent func() bool) {
 	if len(e.catalog) == 0 || !e.settled(now) || (!e.replan && now.Sub(e.placedAt) < decideEvery) {
 		return
 	}
 	e.replan, e.placedAt = false, now
-	var future []*placement.Slot
-	var demand []capacity.Demand
+	e.layFloor(now)
+	plan := now.Sub(e.plannedAt) >= planEvery
+	if !e.round.Resumes() {
+		e.demand = nil
+	}
 	looked := 0
+	lowest, teams := e.runningWork()
 	b := &placement.Board{
-		Now: now, Jobs: e.ranked(now),
+		Now: now, Turns: e.ranked(now), Floor: &e.floor,
 		Team:    func(name string) placement.Team { return e.cfg.Teams[name] },
-		Usage:   e.usage,
+		Usage:   func(team string) fleet.Amount { return e.teamUse[team] },
 		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
-		Busy:    func(ref string) int { return e.useOf(ref).attempts },
+		Busy:    func(ref string) int { return len(e.useOf(ref).attempts) },
 		Commit:  func(d placement.Decision) { looked++; e.place(now, d) },
 		Unmet: func(j *pipeline.Job, n int) {
-			demand = append(demand, capacity.Demand{Job: j, Tasks: n, Zones: e.useOf(j.Ref).zones})
+			e.demand = append(e.demand, capacity.Demand{Job: j, Tasks: n, Zones: e.useOf(j.Ref).zones})
 		},
-		EndOf:   func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
-		Due:     func(j *pipeline.Job) time.Time { return e.dueStart(now, j) },
-		MayStop: func(by *pipeline.Job, a *fleet.Attempt) (float64, bool) { return e.mayStop(now, by, a) },
-		Stop:    func(a *fleet.Attempt) { e.preempt(now, a) },
+		EndOf:    func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
+		Due:      func(j *pipeline.Job) time.Time { return e.dueStart(now, j) },
+		MayStop:  func(by *pipeline.Job, a *fleet.Attempt) (float64, bool) { return e.mayStop(now, by, a) },
+		Stop:     func(a *fleet.Attempt) { e.preempt(now, a) },
+		Preempts: func(by *pipeline.Job) bool { return by.Priority < lowest || teams > 1 },
 		Spent: func() bool {
 			looked++
 			return looked > e.cfg.RoundBudget || (spent != nil && spent())
 		},
 	}
-	for _, m := range e.sortedMachines() {
-		t := e.catalog[m.Type]
-		if t == nil || m.Draining || m.Sick {
-			continue
-		}
-		s := placement.NewSlot(m, t, e.cfg.MaxPerValue/entryBytes)
-		switch {
-		case m.State() == fleet.Booting:
-			if now.Sub(m.FirstSeen) > 2*t.Boot+e.cfg.ReportEvery {
-				continue // may never come
-			}
-			s.Future = true
-			future = append(future, s)
-		case m.State() == fleet.Live && m.Confirmed && !m.HoldUntil.After(now) && !hasForeign(m):
-			b.Slots = append(b.Slots, s)
-		}
+	if plan {
+		b.Waits = waitsInRound
 	}
 	if !e.round.Run(b) {
 		e.replan = true
 		return
 	}
-	e.rent(now, demand, append(future, b.Slots...))
-	e.giveBack(now, demand)
-	if len(demand) == 0 {
-		e.consolidate(now, b.Slots)
+	if !plan {
+		return
+	}
+	e.plannedAt = now
+	e.rent(now, e.demand)
+	e.giveBack(now, e.demand)
+	if len(e.demand) == 0 {
+		e.consolidate(now)
+	}
+}
+
+// runningWork is the lowest priority of which anything may be on a machine, and
+// how many teams have work there.
+func (e *Engine) runningWork() (lowest pipeline.Priority, teams int) {
+	seen := map[string]bool{}
+	for _, j := range e.order {
+		if len(e.useOf(j.Ref).attempts) > 0 {
+			lowest, seen[j.Team] = max(lowest, j.Priority), true
+		}
+	}
+	return lowest, len(seen)
+}
+
+// layFloor brings the floor up to date with the machines that have changed.
+func (e *Engine) layFloor(now time.Time) {
+	for m := range e.changed {
+		delete(e.changed, m)
+		t := e.catalog[m.Type]
+		switch {
+		case t == nil || m.Draining || m.Sick || e.deaf[m]:
+			e.floor.Remove(m)
+		case m.State() == fleet.Booting && m.Known && now.Sub(m.FirstSeen) <= e.slowBoot(t):
+			e.floor.Set(m, t, true)
+		case m.State() == fleet.Live && m.Confirmed && m.Known && !hasForeign(m):
+			e.floor.Set(m, t, false)
+		default:
+			e.floor.Remove(m)
+		}
 	}
 }
 
+// slowBoot is after how long a machine that boots no longer counts as coming.
+func (e *Engine) slowBoot(t *placement.Type) time.Duration { return 2*t.Boot + e.cfg.ReportEvery }
+
 // mayStop holds the protocol's rules of preemption: for a job of higher
 // priority, or to give a team its guarantee at the expense of one that is beyond
 // its own. The cost is the delay of saving and the work that is lost.
 func (e *Engine) mayStop(now time.Time, by *pipeline.Job, a *fleet.Attempt) (float64, bool) {
 	j := e.jobs[a.Ref]
-	if j == nil || (j.Shape == pipeline.Gang && len(j.Tasks) > 1) || a.Foreign || a.State() == fleet.Saving {
+	if j == nil || a.Foreign || a.Stopping || a.State() == fleet.Saving {
 		return 0, false
 	}
 	if by.Priority >= j.Priority && !e.owed(by, j) {
@@ -111,6 +136,9 @@
 			return 0, false // as good as done
 		}
 	}
+	if j.Shape == pipeline.Gang {
+		cost *= float64(len(j.Tasks)) // they all stop
+	}
 	return cost, true
 }
 
@@ -121,23 +149,16 @@
 		return false
 	}
 	t, o := e.cfg.Teams[by.Team], e.cfg.Teams[j.Team]
-	c, g := e.usage(by.Team)
-	oc, og := e.usage(j.Team)
-	within := c+by.CPUs <= t.CPUs || (by.GPUs > 0 && g+by.GPUs <= t.GPUs)
-	beyond := oc > o.CPUs || og > o.GPUs
+	u, ou := e.teamUse[by.Team], e.teamUse[j.Team]
+	within := u.CPUs+by.CPUs <= t.CPUs || (by.GPUs > 0 && u.GPUs+by.GPUs <= t.GPUs)
+	beyond := ou.CPUs > o.CPUs || ou.GPUs > o.GPUs
 	return within && beyond
 }
 
 // preempt stops an attempt to make room.
 func (e *Engine) preempt(now time.Time, a *fleet.Attempt) {
-	j := e.jobs[a.Ref]
-	for _, m := range e.machines {
-		if m.Tasks[a.Key] == a {
-			e.note("preempted", "job", a.Ref, "task", a.Task, "machine", m.Name)
-			e.stopOrderly(now, m, a, j)
-			return
-		}
-	}
+	e.note("preempted", "job", a.Ref, "task", a.Task, "machine", a.On.Name)
+	e.stopOrderly(now, a.On, a, e.jobs[a.Ref])
 }
 
 func hasForeign(m *fleet.Machine) bool {
@@ -149,28 +170,77 @@
 	return false
 }
 
-// ranked is the unfinished jobs in the order in which they may choose: by
-// urgency, then by how soon they must start to keep an aim that can still be
-// kept. Jobs that keep failing come last.
-func (e *Engine) ranked(now time.Time) []*pipeline.Job {
-	out := append([]*pipeline.Job(nil), e.order...)
-	due := make(map[*pipeline.Job]time.Time, len(out))
-	for _, j := range out {
-		due[j] = e.dueStart(now, j).Add(e.workLeft(j) / sizeWeight)
+// ranked is the jobs with waiting tasks in the order in which they may choose:
+// by urgency, then by how soon they must start to keep an aim that can still be
+// kept, the small ones sooner. Jobs that keep failing come last. A job of which
+// nothing has begun for long comes before all others, if only with a few of its
+// tasks: neither urgent nor small work may starve it.
+func (e *Engine) ranked(now time.Time) []placement.Turn {
+	type rank struct {
+		placement.Turn
+		aged, held bool
+		due        time.Time
+	}
+	machines := float64(max(e.floor.Size(), fewMachines))
+	var out []rank
+	for _, j := range e.order {
+		if j.Phase() != pipeline.Active || j.Count(pipeline.Waiting) == 0 {
+			continue
+		}
+		wait := now.Sub(j.Submitted)
+		held := j.HeldBack(e.cfg.RestartLimit)
+		if !j.Started && !held && wait > e.agesAfter(j) {
+			most := len(j.Tasks)
+			if j.Shape == pipeline.Array {
+				most = 1 + most/agedPart
+			}
+			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted})
+		}
+		size := time.Duration(float64(e.workLeft(j)) * sizeWeight / machines)
+		size = time.Duration(float64(size) * max(0, 1-float64(wait)/float64(sizeFades)))
+		out = append(out, rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: e.dueStart(now, j).Add(size)})
 	}
 	sort.SliceStable(out, func(i, k int) bool {
-		a, b := out[i], out[k]
-		if x, y := a.HeldBack(e.cfg.RestartLimit), b.HeldBack(e.cfg.RestartLimit); x != y {
-			return y
+		a, b := &out[i], &out[k]
+		if a.held != b.held {
+			return b.held
+		}
+		if a.aged != b.aged {
+			return a.aged
 		}
-		if a.Priority != b.Priority {
-			return a.Priority < b.Priority
+		if !a.aged && a.Job.Priority != b.Job.Priority {
+			return a.Job.Priority < b.Job.Priority
 		}
-		return due[a].Before(due[b])
+		return a.due.Before(b.due)
 	})
-	return out
+	turns := make([]placement.Turn, len(out))
+	for i := range out {
+		turns[i] = out[i].Turn
+	}
+	return turns
 }
 
+// agesAfter is how long a job may wait for its first task before it comes ahead
+// of all others. The largest must begin within four minutes; a gang needs some
+// of that for room to be kept for it.
+func (e *Engine) agesAfter(j *pipeline.Job) time.Duration {
+	if j.Shape == pipeline.Gang && len(j.Tasks) > 1 {
+		return 100 * time.Second
+	}
+	return 150 * time.Second
+}
+
+// How size counts against a job: sizeWeight seconds for each second of a machine
+// that it needs, divided among the machines that are up, of which there are taken
+// to be fewMachines at least. When not all can be in time, more jobs are if the
+// small ones go first. It counts less the longer the job has waited.
+const (
+	sizeWeight  = 12
+	fewMachines = 36
+	sizeFades   = 4 * time.Minute
+	agedPart    = 8
+)
+
 // noAim is the time to start that a job without aims is given; lateFactor is
 // how much later than its last aim a job counts that can keep none any more:
 // it lets those go first that can, but isn't put off for good.
@@ -215,11 +285,6 @@
 	return j.Submitted.Add(noAim)
 }
 
-// sizeWeight says how a job's size counts against it: so many machine-seconds
-// of its tasks weigh as much as a second of its due time. When not all can be in
-// time, more jobs are if the small ones go first.
-const sizeWeight = 3
-
 // workLeft is the run time of all tasks of a job that aren't done.
 func (e *Engine) workLeft(j *pipeline.Job) time.Duration {
 	return e.expectedRun(j) * time.Duration(len(j.Tasks)-j.Count(pipeline.Finished))
@@ -272,16 +337,6 @@
 	return end
 }
 
-// usage is what of a team may be on machines, of jobs that are over too.
-func (e *Engine) usage(team string) (cpus, gpus float64) {
-	for _, u := range e.use {
-		if u.team == team && u.attempts > 0 {
-			cpus, gpus = cpus+u.cpus, gpus+u.gpus
-		}
-	}
-	return
-}
-
 // place notes a decision: the start goes out once the store holds that the
 // attempt may be on the machine.
 func (e *Engine) place(now time.Time, d placement.Decision) {
@@ -292,79 +347,20 @@
 	}
 	a := &fleet.Attempt{Key: fleet.Key{Ref: j.Ref, Task: d.Task}, Number: n, CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB, Image: j.Image}
 	e.attach(now, d.Slot.Machine, a, fleet.Intended)
+	e.writes.fresh = append(e.writes.fresh, a)
 	j.Assign(d.Task, d.Slot.Machine.Name, n)
 	e.debug("placed", "job", j.Ref, "task", d.Task, "machine", d.Slot.Machine.Name, "type", d.Slot.Machine.Type)
 }
 
 // rent asks for machines for work that nothing has room for.
-func (e *Engine) rent(now time.Time, demand []capacity.Demand, slots []*placement.Slot) {
+func (e *Engine) rent(now time.Time, demand []capacity.Demand) {
 	if now.Sub(e.started) < e.cfg.ReportEvery*5/4 {
 		return // machines may be there that haven't been heard of yet
 	}
-	for _, o := range e.plan.Choose(now, demand, slots, e.catalog) {
+	for _, o := range e.plan.Choose(now, demand, &e.floor, e.catalog) {
 		e.counter++
 		e.plan.Asked(o.Offer, o.Count)
 		e.out.Rent = append(e.out.Rent, Rent{Name: fmt.Sprintf("r-%d-%d", e.term, e.counter), Type: o.Offer.Type,
 			Zone: o.Offer.Zone, Spot: o.Offer.Spot, Count: o.Count})
 	}
 }
-
-// recentClass is how long a class of jobs counts as one that may come again.
-const recentClass = 4 * time.Minute
-
-// idleUseless is how long a machine is kept that no recent class of jobs fits.
-// Others are kept for idleUseful and as long as idleDollars pay for: being
-// there spares a job the boot time, whatever the machine costs.
-const (
-	idleUseless = 10 * time.Second
-	idleUseful  = 10 * time.Second
-	idleDollars = 0.1
-	idleMost    = 40 * time.Second
-)
-
-// giveBack releases machines that have been idle too long.
-func (e *Engine) giveBack(now time.Time, demand []capacity.Demand) {
-	if len(e.classes) == 0 || now.Sub(e.started) < 3*e.cfg.ReportEvery {
-		return
-	}
-	for _, m := range e.sortedMachines() {
-		t := e.catalog[m.Type]
-		if t == nil || m.State() != fleet.Live || len(m.Tasks) > 0 || !m.Confirmed || awaited(m, t, demand) {
-			continue
-		}
-		keep := idleUseless
-		if last := e.lastUse(now, m, t); !last.IsZero() {
-			keep = idleUseful + time.Duration(idleDollars/max(t.Price(m.Spot), 0.01)*float64(time.Hour))
-			if now.Sub(last) > idleMost {
-				keep = min(keep, idleMost)
-			}
-		}
-		if now.Sub(m.IdleSince) > keep {
-			e.release(now, m, "idle")
-		}
-	}
-}
-
-// awaited tells whether waiting work could use the machine: a gang, say, that
-// still lacks room for some of its tasks.
-func awaited(m *fleet.Machine, t *placement.Type, demand []capacity.Demand) bool {
-	for _, d := range demand {
-		if s := placement.NewSlot(m, t, 1); s.Allowed(&d.Job.Spec) && t.Fits(&d.Job.Spec) && !d.Job.BadOn[m.Name] {
-			return true
-		}
-	}
-	return false
-}
-
-// lastUse is when a job last came that could run on the machine; zero if that is
-// long ago.
-func (e *Engine) lastUse(now time.Time, m *fleet.Machine, t *placement.Type) time.Time {
-	var last time.Time
-	for _, c := range e.classes {
-		if now.Sub(c.lastAt) < recentClass && c.lastAt.After(last) && c.spec != nil && t.Fits(c.spec) &&
-			c.spec.AllowsType(t.Name) && (c.spec.Spot || !m.Spot) {
-			last = c.lastAt
-		}
-	}
-	return last
-}
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"reflect"
 	"time"
 
 	"gingertally/internal/core/capacity"
@@ -25,6 +26,7 @@
 	BatchEvery   time.Duration // how often partial progress is written
 	MaxPerValue  int           // bytes that one value in the store may have
 	RoundBudget  int           // tasks looked at in one round of decisions
+	Debug        bool          // notes at debug level are wanted
 }
 
 // AimKind is what an aim is about.
@@ -46,39 +48,48 @@
 
 // Engine is a leader's state for one term. It isn't safe for concurrent use.
 type Engine struct {
-	cfg      Config
-	term     uint64
-	rng      *rand.Rand
-	started  time.Time // when the term was claimed, by this node's clock
-	lastTick time.Time
-	jobs     map[string]*pipeline.Job
-	order    []*pipeline.Job // unfinished jobs in ready order
-	machines map[string]*fleet.Machine
-	gone     map[string]time.Time // names of machines proven gone
-	use      map[string]*jobUse   // what may be on machines, by job
-	catalog  placement.Catalog
-	counter  uint64
-	round    placement.Round
-	plan     capacity.Plan
-	replan   bool // something changed that placement may use
-	placedAt time.Time
-	lastList time.Time
-	movedAt  time.Time                 // when a machine was last emptied
-	finals   map[string]pipeline.Final // told for good
-	cleanup  []chunkRef                // done ranges of jobs that are over
-	orphans  map[string]uint64         // records of machines that are gone, with versions
-	lastJob  map[string]time.Time      // when a job's record was last written
-	classes  map[string]*classStats
-	out      Effects
+	cfg       Config
+	term      uint64
+	rng       *rand.Rand
+	started   time.Time // when the term was claimed, by this node's clock
+	lastTick  time.Time
+	jobs      map[string]*pipeline.Job
+	order     []*pipeline.Job // unfinished jobs in ready order
+	machines  map[string]*fleet.Machine
+	watch     watchList               // when machines are to be looked at
+	unheard   int                     // machines on record that have not been heard of yet
+	gone      map[string]time.Time    // names of machines proven gone
+	use       map[string]*jobUse      // what may be on machines, by job
+	teamUse   map[string]fleet.Amount // the same by team
+	catalog   placement.Catalog
+	counter   uint64
+	floor     placement.Floor
+	cancelled map[*pipeline.Job]bool  // cancelled jobs that may have tasks on machines
+	deaf      map[*fleet.Machine]bool // machines that seem to hear nothing
+	changed   map[*fleet.Machine]bool // since the floor last saw them
+	round     placement.Round
+	demand    []capacity.Demand // what the present round found no room for
+	plan      capacity.Plan
+	replan    bool // something changed that placement may use
+	placedAt  time.Time
+	plannedAt time.Time
+	prunedAt  time.Time
+	lastList  time.Time
+	movedAt   time.Time // when machines to be emptied were last looked for
+	emptying  map[*fleet.Machine]bool
+	finals    map[string]pipeline.Final // told for good
+	writes    writeQueue
+	classes   map[string]*classStats
+	out       Effects
 }
 
-// jobUse counts what of a job may be on machines.
+// jobUse is what of a job may be on machines.
 type jobUse struct {
-	team       string
-	attempts   int
-	running    int
-	cpus, gpus float64
-	zones      map[string]int
+	team     string
+	attempts map[*fleet.Attempt]bool
+	results  map[*fleet.Attempt]bool // that the store isn't known to hold
+	running  int
+	zones    map[string]int
 }
 
 // Reply answers a report.
@@ -129,8 +140,8 @@
 
 // Snapshot is what the store held when the term was claimed.
 type Snapshot struct {
-	Jobs     []StoredJob
-	Machines []StoredMachine
+	Jobs  []StoredJob
+	Pages []StoredPage
 }
 
 // StoredJob is a job's record with its version and further done ranges.
@@ -140,8 +151,8 @@
 	Chunks  map[int][]int
 }
 
-// StoredMachine is a machine's record with its version.
-type StoredMachine struct {
+// StoredPage is a page of the start log with its version.
+type StoredPage struct {
 	Name    string
 	Record  fleet.Record
 	Version uint64
@@ -152,12 +163,13 @@
 func New(now time.Time, cfg Config, term uint64, snap Snapshot, rng *rand.Rand) *Engine {
 	e := &Engine{cfg: cfg, term: term, rng: rng, started: now, jobs: map[string]*pipeline.Job{},
 		machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, use: map[string]*jobUse{},
-		finals: map[string]pipeline.Final{}, orphans: map[string]uint64{}, lastJob: map[string]time.Time{},
-		classes: map[string]*classStats{}, replan: true}
+		teamUse: map[string]fleet.Amount{}, changed: map[*fleet.Machine]bool{}, deaf: map[*fleet.Machine]bool{}, emptying: map[*fleet.Machine]bool{}, cancelled: map[*pipeline.Job]bool{},
+		finals: map[string]pipeline.Final{}, classes: map[string]*classStats{}, replan: true}
+	e.writes.init()
 	for _, s := range snap.Jobs {
 		e.addJob(now, s)
 	}
-	e.inherit(now, snap.Machines)
+	e.inherit(now, snap.Pages)
 	return e
 }
 
@@ -176,6 +188,9 @@
 }
 
 func (e *Engine) debug(text string, args ...any) {
+	if !e.cfg.Debug {
+		return
+	}
 	e.out.Notes = append(e.out.Notes, Note{Debug: true, Text: text, Args: args})
 }
 
@@ -191,7 +206,7 @@
 func (e *Engine) useOf(ref string) *jobUse {
 	u := e.use[ref]
 	if u == nil {
-		u = &jobUse{zones: map[string]int{}}
+		u = &jobUse{attempts: map[*fleet.Attempt]bool{}, results: map[*fleet.Attempt]bool{}, zones: map[string]int{}}
 		e.use[ref] = u
 	}
 	return u
@@ -202,49 +217,76 @@
 // counts that quotas, zones and gangs are checked against.
 func (e *Engine) attach(now time.Time, m *fleet.Machine, a *fleet.Attempt, st fleet.TaskState) {
 	m.Add(now, a, st)
-	if st == fleet.Exited {
-		return
-	}
-	e.account(m, a, 1)
-	if st == fleet.Running {
-		e.useOf(a.Ref).running++
-	}
-}
-
-func (e *Engine) account(m *fleet.Machine, a *fleet.Attempt, by int) {
 	u := e.useOf(a.Ref)
 	if j := e.jobs[a.Ref]; j != nil {
 		u.team = j.Team
 	}
-	u.attempts += by
-	u.cpus += float64(by) * a.CPUs
-	u.gpus += float64(by) * a.GPUs
-	u.zones[m.Zone] += by
-	if u.attempts == 0 && e.jobs[a.Ref] == nil {
-		delete(e.use, a.Ref)
+	u.attempts[a] = true
+	u.zones[m.Zone]++
+	e.addUse(u.team, a, 1)
+	e.touch(m)
+	if st == fleet.Running {
+		u.running++
 	}
+}
+
+func (e *Engine) addUse(team string, a *fleet.Attempt, by float64) {
+	t := e.teamUse[team]
+	t.CPUs, t.GPUs, t.MemGB = t.CPUs+by*a.CPUs, t.GPUs+by*a.GPUs, t.MemGB+by*a.MemGB
+	e.teamUse[team] = t
+}
+
+// touch notes that what a machine may take has changed.
+func (e *Engine) touch(m *fleet.Machine) {
+	e.changed[m] = true
 	e.replan = true
 }
 
 func (e *Engine) moveAttempt(now time.Time, m *fleet.Machine, a *fleet.Attempt, to fleet.TaskState) {
 	was := a.State()
-	if !a.Move(now, to) {
+	if !m.MoveAttempt(now, a, to) {
 		return
 	}
+	u := e.useOf(a.Ref)
 	if was == fleet.Running {
-		e.useOf(a.Ref).running--
+		u.running--
 	}
 	if to == fleet.Running {
-		e.useOf(a.Ref).running++
+		u.running++
+	}
+	if to != fleet.Exited {
+		return
 	}
-	if to == fleet.Exited {
-		e.account(m, a, -1)
+	delete(u.attempts, a)
+	u.zones[m.Zone]--
+	e.addUse(u.team, a, -1)
+	if p := a.Page; p != nil {
+		p.Remove(a)
+		e.writes.pageChanged(p)
+	}
+	e.touch(m)
+	e.dropUse(a.Ref)
+}
+
+// dropUse forgets the use of a job that is over and nowhere any more.
+func (e *Engine) dropUse(ref string) {
+	if u := e.use[ref]; u != nil && len(u.attempts)+len(u.results) == 0 && e.jobs[ref] == nil {
+		delete(e.use, ref)
 	}
 }
 
 func (e *Engine) detach(now time.Time, m *fleet.Machine, a *fleet.Attempt) {
 	e.moveAttempt(now, m, a, fleet.Exited)
+	e.drop(now, m, a)
+}
+
+// drop forgets an attempt that has exited.
+func (e *Engine) drop(now time.Time, m *fleet.Machine, a *fleet.Attempt) {
 	m.Drop(now, a.Key)
+	if u := e.use[a.Ref]; u != nil {
+		delete(u.results, a)
+		e.dropUse(a.Ref)
+	}
 }
 
 // Tick lets time pass: silence, leases, cancellations, rounds of decisions.
@@ -276,6 +318,23 @@
 type Catalog struct{ Types placement.Catalog }
 
 func (c Catalog) apply(e *Engine, now time.Time) {
+	if sameTypes(e.catalog, c.Types) {
+		return
+	}
 	e.catalog = c.Types
-	e.replan = true
+	for _, m := range e.machines {
+		e.touch(m)
+	}
+}
+
+func sameTypes(a, b placement.Catalog) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, t := range a {
+		if o := b[name]; o == nil || !reflect.DeepEqual(t, o) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -85,12 +85,14 @@
 // Attempt is one attempt that is, or may be, on a machine.
 type Attempt struct {
 	Key
+	On       *Machine
+	Page     *Page // the page of the start log that names it; nil: none does yet
 	Number   uint64
 	state    TaskState
 	Cause    Cause
-	SentSeq  uint64
-	Inherit  bool // from an earlier term: only a report under this term's token proves it gone
-	Foreign  bool // not wanted here; stopped and never counted as a result of ours
+	ToldSeq  uint64 // the report in answer to which the machine was last told something about it
+	Inherit  bool   // from an earlier term: only a report under this term's token proves it gone
+	Foreign  bool   // not wanted here; stopped and never counted as a result of ours
 	StopAt   time.Time
 	Stopping bool
 	Grace    time.Duration
@@ -106,9 +108,9 @@
 // State returns the attempt's state.
 func (a *Attempt) State() TaskState { return a.state }
 
-// Move is the one place where an attempt changes state. It returns false if
+// move is the one place where an attempt changes state. It returns false if
 // nothing changes; an exit is final.
-func (a *Attempt) Move(now time.Time, to TaskState) bool {
+func (a *Attempt) move(now time.Time, to TaskState) bool {
 	if a.state == to || a.state == Exited {
 		return false
 	}
@@ -136,31 +138,12 @@
 
 func (s MachineState) String() string { return machineStateNames[s] }
 
-// Entry is one attempt in a machine's record.
-type Entry struct {
-	_       struct{} `cbor:",toarray"`
-	Ref     string
-	Task    int
-	Attempt uint64
-}
-
-// Record is what the store holds of a machine that may hold tasks: written
-// before the first start of each attempt there, so that whoever takes over
-// knows which attempts may be on machines that it hasn't heard from.
-type Record struct {
-	Type    string  `cbor:"ty"`
-	Zone    string  `cbor:"zo"`
-	Spot    bool    `cbor:"so,omitempty"`
-	Addr    string  `cbor:"ad"`
-	Entries []Entry `cbor:"e"`
-}
-
 // Machine is one machine.
 type Machine struct {
 	Name, Addr, Type, Zone string
 	Spot                   bool
 	state                  MachineState
-	Session, Seq           uint64
+	Session, Seq, Token    uint64    // of its newest report
 	Confirmed              bool      // has reported with this term's token, or never held anything of an earlier term
 	LastHeard              time.Time // when its newest report arrived
 	LeaseBase              time.Time // no 200 was sent to it after this
@@ -171,15 +154,24 @@
 	Draining               bool      // gets no more starts
 	Sick                   bool
 	HoldUntil              time.Time // gets no starts until then
+	CheckAt                time.Time // when it is to be looked at next
+	Known                  bool      // listed by the cloud, rented, or heard under this term's token: not just an old copy's word
+	Deaf                   Deafness
+	Regress                Regress
 	ErrorJobs              map[string]bool
 	Errors                 int
 	ReleaseTries           int
 	Tasks                  map[Key]*Attempt
 	Images                 []Image // most recently used last
-	Version                uint64  // of its record in the store; 0: none
-	recorded               map[Key]uint64
-	RecordDirty            bool
-	TidiedAt               time.Time
+	used                   Amount
+	busy                   int
+}
+
+// Amount is a sum of what tasks take of machines.
+type Amount struct{ CPUs, GPUs, MemGB float64 }
+
+func (a *Amount) add(t *Attempt, by float64) {
+	a.CPUs, a.GPUs, a.MemGB = a.CPUs+by*t.CPUs, a.GPUs+by*t.GPUs, a.MemGB+by*t.MemGB
 }
 
 // Image is an image that a machine is believed to have.
@@ -192,7 +184,7 @@
 // NewMachine makes a machine in a first state.
 func NewMachine(now time.Time, name, typ, zone string, spot bool, st MachineState) *Machine {
 	return &Machine{Name: name, Type: typ, Zone: zone, Spot: spot, state: st, FirstSeen: now, IdleSince: now,
-		Tasks: map[Key]*Attempt{}, ErrorJobs: map[string]bool{}, recorded: map[Key]uint64{}}
+		Tasks: map[Key]*Attempt{}}
 }
 
 // State returns the machine's state.
@@ -221,89 +213,58 @@
 
 // Used returns what all that may be on the machine takes of it. Exited tasks
 // take nothing.
-func (m *Machine) Used() (cpus, gpus, mem float64) {
-	for _, a := range m.Tasks {
-		if a.state != Exited {
-			cpus, gpus, mem = cpus+a.CPUs, gpus+a.GPUs, mem+a.MemGB
-		}
-	}
-	return
-}
+func (m *Machine) Used() Amount { return m.used }
 
 // Busy counts the attempts that may be on the machine.
-func (m *Machine) Busy() int {
-	n := 0
-	for _, a := range m.Tasks {
-		if a.state != Exited {
-			n++
-		}
-	}
-	return n
-}
+func (m *Machine) Busy() int { return m.busy }
 
 // Add notes an attempt that is, or may be, on the machine.
 func (m *Machine) Add(now time.Time, a *Attempt, st TaskState) {
-	a.state, a.Since = st, now
+	a.On, a.state, a.Since = m, st, now
 	if st == Running {
 		a.RunStart = now
 	}
 	m.Tasks[a.Key] = a
-	if st == Intended {
-		m.RecordDirty = true
+	if st != Exited {
+		m.busy++
+		m.used.add(a, 1)
 	}
 }
 
-// Drop removes an attempt that is proven gone, or forgotten by its worker.
-func (m *Machine) Drop(now time.Time, k Key) {
-	delete(m.Tasks, k)
-	if len(m.Tasks) == 0 {
-		m.IdleSince = now
+// MoveAttempt takes an attempt to another state; it returns false if nothing changes.
+func (m *Machine) MoveAttempt(now time.Time, a *Attempt, to TaskState) bool {
+	if !a.move(now, to) {
+		return false
 	}
-}
-
-// StoreRecord returns the machine's record as it should now be written, and the
-// entries it holds.
-func (m *Machine) StoreRecord() Record {
-	r := Record{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Addr: m.Addr}
-	for k, a := range m.Tasks {
-		if a.state != Exited {
-			r.Entries = append(r.Entries, Entry{Ref: k.Ref, Task: k.Task, Attempt: a.Number})
+	if to == Exited {
+		m.busy--
+		m.used.add(a, -1)
+		if m.busy == 0 {
+			m.used = Amount{} // no rounding is carried on
 		}
 	}
-	return r
+	return true
 }
 
-// RecordWritten notes that the store holds a record; intended attempts in it
-// may now be started.
-func (m *Machine) RecordWritten(now time.Time, r Record, version uint64) {
-	m.Version = version
-	clear(m.recorded)
-	for _, e := range r.Entries {
-		k := Key{e.Ref, e.Task}
-		m.recorded[k] = e.Attempt
-		if a := m.Tasks[k]; a != nil && a.Number == e.Attempt && a.state == Intended {
-			a.Move(now, Recorded)
-		}
+// Drop removes an attempt that is proven gone, or forgotten by its worker.
+func (m *Machine) Drop(now time.Time, k Key) {
+	delete(m.Tasks, k)
+	if len(m.Tasks) == 0 {
+		m.IdleSince = now
 	}
 }
 
-// Stale tells whether the store's record names attempts that are gone.
-func (m *Machine) Stale() bool {
-	for k, n := range m.recorded {
-		if a := m.Tasks[k]; a == nil || a.Number != n || a.state == Exited {
-			return true
-		}
+// Blame counts a bad exit of a job on the machine; Forgive forgets all.
+func (m *Machine) Blame(ref string) {
+	if m.ErrorJobs == nil {
+		m.ErrorJobs = map[string]bool{}
 	}
-	return false
+	m.Errors++
+	m.ErrorJobs[ref] = true
 }
 
-// SetRecorded notes what the store's record holds after a takeover.
-func (m *Machine) SetRecorded(r Record, version uint64) {
-	m.Version = version
-	for _, e := range r.Entries {
-		m.recorded[Key{e.Ref, e.Task}] = e.Attempt
-	}
-}
+// Forgive forgets the bad exits on the machine.
+func (m *Machine) Forgive() { m.Errors, m.ErrorJobs = 0, nil }
 
 // FetchLeft is how long until an image is expected to be there; one that isn't
 // being fetched yet shares the rate with those that are.
--- /dev/null
+++ b/internal/core/fleet/pages.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+// Entry is one attempt in the start log.
+type Entry struct {
+	_       struct{} `cbor:",toarray"`
+	Ref     string
+	Task    int
+	Attempt uint64
+}
+
+// Placed is what a page of the start log says of one machine.
+type Placed struct {
+	_          struct{} `cbor:",toarray"`
+	Machine    string
+	Type, Zone string
+	Spot       bool
+	Entries    []Entry
+}
+
+// Record is the value of one page.
+type Record struct {
+	Placed []Placed `cbor:"p"`
+}
+
+// About what a machine and an attempt take of a page, in the JSON form that the
+// state service counts in.
+const (
+	placedBytes = 70
+	entryBytes  = 44
+)
+
+// Page is one value of the start log: which attempts may be on which machines.
+// An attempt is named in a page of the store before its first start leaves, and
+// stays so until it is proven gone; whoever takes over reads all pages. Many
+// starts share one write, and a page that is written again drops what is gone.
+type Page struct {
+	Name    string
+	Version uint64 // in the store; 0: not there as far as is known
+	Sending bool   // a write is under way
+	Dirty   bool   // holds attempts that the store doesn't
+	Trimmed time.Time
+	live    map[*Attempt]bool
+	stale   int // entries in the store whose attempts are gone
+}
+
+// NewPage makes an empty page.
+func NewPage(name string, version uint64) *Page {
+	return &Page{Name: name, Version: version, live: map[*Attempt]bool{}}
+}
+
+// Add puts an attempt on the page: a new one, which makes it dirty, or one that
+// AddStale has counted and that turns out to be current.
+func (p *Page) Add(a *Attempt, stored bool) {
+	p.live[a] = true
+	a.Page = p
+	if stored {
+		p.stale--
+	} else {
+		p.Dirty = true
+	}
+}
+
+// AddStale notes an entry in the store whose attempt isn't known to be current.
+func (p *Page) AddStale() { p.stale++ }
+
+// Remove takes an attempt that is proven gone off its page.
+func (p *Page) Remove(a *Attempt) {
+	if p.live[a] {
+		delete(p.live, a)
+		p.stale++
+	}
+}
+
+// Live counts the attempts on the page that may be on machines, Stale the
+// entries in the store that may not.
+func (p *Page) Live() int { return len(p.live) }
+
+// Stale counts the entries in the store whose attempts are gone.
+func (p *Page) Stale() int { return p.stale }
+
+// Fits tells whether so many more attempts have room on the page, with each on
+// a machine of its own.
+func (p *Page) Fits(more, maxBytes int) bool {
+	return (len(p.live)+more)*(placedBytes+entryBytes) <= max(maxBytes, placedBytes+entryBytes)
+}
+
+// Record returns the page as it should now be written.
+func (p *Page) Record() Record {
+	at := make([]*Attempt, 0, len(p.live))
+	for a := range p.live {
+		at = append(at, a)
+	}
+	sort.Slice(at, func(i, k int) bool {
+		if at[i].On.Name != at[k].On.Name {
+			return at[i].On.Name < at[k].On.Name
+		}
+		return at[i].Number < at[k].Number || at[i].Number == at[k].Number && at[i].Task < at[k].Task
+	})
+	var r Record
+	for i, a := range at {
+		m := a.On
+		if i == 0 || at[i-1].On != m {
+			r.Placed = append(r.Placed, Placed{Machine: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+		}
+		pl := &r.Placed[len(r.Placed)-1]
+		pl.Entries = append(pl.Entries, Entry{Ref: a.Ref, Task: a.Task, Attempt: a.Number})
+	}
+	return r
+}
+
+// Sent notes that the page's present content is on its way to the store.
+func (p *Page) Sent() { p.Sending, p.Dirty, p.stale = true, false, 0 }
+
+// Stored notes that the store holds a record: attempts in it that were only
+// intended may now be started.
+func (p *Page) Stored(now time.Time, r Record, version uint64) {
+	p.Version, p.Sending, p.Trimmed = version, false, now
+	in := map[Entry]bool{}
+	for _, pl := range r.Placed {
+		for _, e := range pl.Entries {
+			in[e] = true
+		}
+	}
+	for a := range p.live {
+		if a.state == Intended && in[Entry{Ref: a.Ref, Task: a.Task, Attempt: a.Number}] {
+			a.move(now, Recorded)
+		}
+	}
+}
+
+// Failed notes that a write isn't known to have happened; seen is the version
+// that the store has now, if known.
+func (p *Page) Failed(seen uint64, known bool) {
+	p.Sending, p.Dirty = false, len(p.live) > 0
+	if known {
+		p.Version = seen
+	}
+	p.stale++ // what the store holds may differ
+}
--- /dev/null
+++ b/internal/core/giveback.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"time"
+
+	"gingertally/internal/core/capacity"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/placement"
+)
+
+// recentClass is how long a class of jobs counts as one that may come again.
+const recentClass = 4 * time.Minute
+
+// idleUseless is how long a machine is kept that no recent class of jobs fits.
+// Others are kept for idleUseful and as long as idleDollars pay for: being
+// there spares a job the boot time, whatever the machine costs.
+const (
+	idleUseless = 10 * time.Second
+	idleUseful  = 10 * time.Second
+	idleDollars = 0.1
+	idleMost    = 40 * time.Second
+)
+
+// giveBack releases machines that have been idle too long.
+func (e *Engine) giveBack(now time.Time, demand []capacity.Demand) {
+	if len(e.classes) == 0 || now.Sub(e.started) < 3*e.cfg.ReportEvery {
+		return
+	}
+	for _, p := range e.floor.Pools {
+		if len(p.Slots) == 0 {
+			continue
+		}
+		keep := e.keepIdle(now, p)
+		for i := len(p.Slots) - 1; i >= 0; i-- {
+			s := p.Slots[i]
+			m := s.Machine
+			if s.Future || len(m.Tasks) > 0 || now.Sub(m.IdleSince) <= keep || awaited(p, m, demand) {
+				continue
+			}
+			e.release(now, m, "idle")
+		}
+	}
+}
+
+// keepIdle is how long an idle machine of a pool is kept.
+func (e *Engine) keepIdle(now time.Time, p *placement.Pool) time.Duration {
+	last := e.lastUse(now, p)
+	if last.IsZero() {
+		return idleUseless
+	}
+	keep := idleUseful + time.Duration(idleDollars/max(p.Type.Price(p.Key.Spot), 0.01)*float64(time.Hour))
+	if now.Sub(last) > idleMost {
+		keep = min(keep, idleMost)
+	}
+	return keep
+}
+
+// awaited tells whether waiting work could use the machine: a gang, say, that
+// still lacks room for some of its tasks.
+func awaited(p *placement.Pool, m *fleet.Machine, demand []capacity.Demand) bool {
+	for _, d := range demand {
+		if p.Allowed(&d.Job.Spec) && !d.Job.BadOn[m.Name] {
+			return true
+		}
+	}
+	return false
+}
+
+// lastUse is when a job last came that could run on the pool's machines; zero if
+// that is long ago.
+func (e *Engine) lastUse(now time.Time, p *placement.Pool) time.Time {
+	var last time.Time
+	for _, c := range e.classes {
+		if now.Sub(c.lastAt) < recentClass && c.lastAt.After(last) && c.spec != nil && p.Allowed(c.spec) {
+			last = c.lastAt
+		}
+	}
+	return last
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -37,8 +38,10 @@
 	j.Version = s.Job.Version
 	if s.Job.Record.Phase == pipeline.Cancelled && j.Cancel(time.UnixMilli(s.Job.Record.CancelledMS)) {
 		e.note("job cancelled", "job", ref)
+		e.cancelled[j] = true
 		e.stopJob(now, j, "cancelled")
 	}
+	e.writes.jobChanged(j)
 }
 
 // JobFinal says that the store holds a job's final entry.
@@ -61,10 +64,9 @@
 	}
 	j.SetWritten(f.Phase)
 	e.settleResults(j)
-	for c := 1; c*pipeline.ChunkTasks < len(j.Tasks); c++ {
-		e.cleanup = append(e.cleanup, chunkRef{j.Ref, c})
-	}
+	delete(e.cancelled, j)
 	e.removeJob(j)
+	e.writes.jobOver(j)
 	e.note("job over", "job", ref, "phase", f.Phase)
 }
 
@@ -87,9 +89,25 @@
 	c.arrived(now, j.Count(pipeline.Waiting))
 	c.spec = &j.Spec
 	j.Settle()
+	if j.Phase() == pipeline.Cancelled {
+		e.cancelled[j] = true
+	}
+	e.writes.jobChanged(j)
 	e.replan = true
 }
 
+func sortedJobs(set map[*pipeline.Job]bool) []*pipeline.Job {
+	if len(set) == 0 {
+		return nil
+	}
+	out := make([]*pipeline.Job, 0, len(set))
+	for j := range set {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Ref < out[k].Ref })
+	return out
+}
+
 // before orders jobs by urgency, and within it by when they became ready.
 func before(a, b *pipeline.Job) bool {
 	if a.Priority != b.Priority {
@@ -112,15 +130,9 @@
 
 func (e *Engine) removeJob(j *pipeline.Job) {
 	delete(e.jobs, j.Ref)
-	delete(e.lastJob, j.Ref)
-	if u := e.use[j.Ref]; u != nil && u.attempts == 0 {
-		delete(e.use, j.Ref)
-	}
-	for i, o := range e.order {
-		if o == j {
-			e.order = append(e.order[:i], e.order[i+1:]...)
-			break
-		}
+	e.dropUse(j.Ref)
+	if i := slices.Index(e.order, j); i >= 0 {
+		e.order = slices.Delete(e.order, i, i+1)
 	}
 }
 
@@ -158,6 +170,7 @@
 func (d Doubt) apply(e *Engine, now time.Time) {
 	if j := e.jobs[d.Ref]; j != nil {
 		j.Doubt() // writing the record anew settles it
+		e.writes.jobChanged(j)
 	}
 }
 
@@ -169,23 +182,30 @@
 	return v
 }
 
-// attemptsOf calls f for each attempt of a job that may be on a machine.
-func (e *Engine) attemptsOf(ref string, f func(*fleet.Machine, *fleet.Attempt)) {
-	if u := e.use[ref]; u == nil || u.attempts == 0 {
-		return
-	}
-	for _, m := range e.sortedMachines() {
-		for _, a := range sortedAttempts(m) {
-			if a.Ref == ref && a.State() != fleet.Exited {
-				f(m, a)
-			}
+// attemptsOf lists the attempts of a job that may be on machines, by machine.
+func (e *Engine) attemptsOf(ref string) []*fleet.Attempt {
+	u := e.use[ref]
+	if u == nil || len(u.attempts) == 0 {
+		return nil
+	}
+	out := make([]*fleet.Attempt, 0, len(u.attempts))
+	for a := range u.attempts {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].On.Name != out[k].On.Name {
+			return out[i].On.Name < out[k].On.Name
 		}
-	}
+		return out[i].Task < out[k].Task
+	})
+	return out
 }
 
 // stopJob ends all attempts of a job at once: nothing they could save counts.
 func (e *Engine) stopJob(now time.Time, j *pipeline.Job, why string) {
-	e.attemptsOf(j.Ref, func(m *fleet.Machine, a *fleet.Attempt) { e.stop(now, m, a, 0) })
+	for _, a := range e.attemptsOf(j.Ref) {
+		e.stop(now, a.On, a, 0)
+	}
 	e.debug("job stopped", "job", j.Ref, "why", why)
 }
 
@@ -206,6 +226,10 @@
 		return
 	}
 	a.Stopping, a.StopAt, a.Grace = true, now, grace
+	e.touch(m)
+	if a.State() != fleet.Sent {
+		a.ToldSeq = 0
+	}
 	if a.State() == fleet.Sent || m.Session == 0 {
 		return // goes with the next report's response, once it is there
 	}
@@ -232,17 +256,20 @@
 // chaseCancelled makes sure that the tasks of cancelled jobs are gone in time,
 // also on machines that don't answer: those are released.
 func (e *Engine) chaseCancelled(now time.Time) {
-	for _, j := range e.order {
-		if j.Phase() != pipeline.Cancelled {
+	for _, j := range sortedJobs(e.cancelled) {
+		left := e.attemptsOf(j.Ref)
+		if len(left) == 0 {
+			delete(e.cancelled, j)
+			e.writes.jobChanged(j) // its final entry can be written
 			continue
 		}
 		late := now.Sub(j.CancelAt) > e.cfg.CancelWithin*6/10
-		e.attemptsOf(j.Ref, func(m *fleet.Machine, a *fleet.Attempt) {
-			e.stop(now, m, a, 0)
+		for _, a := range left {
+			e.stop(now, a.On, a, 0)
 			if late {
-				e.release(now, m, "holds a cancelled task")
+				e.release(now, a.On, "holds a cancelled task")
 			}
-		})
+		}
 	}
 }
 
@@ -261,11 +288,11 @@
 	if j == nil || j.Shape != pipeline.Gang || j.Tasks[0].State() == pipeline.Finished || len(j.Tasks) == 1 {
 		return
 	}
-	e.attemptsOf(a.Ref, func(m *fleet.Machine, b *fleet.Attempt) {
+	for _, b := range e.attemptsOf(a.Ref) {
 		if !b.Stopping {
-			e.stop(now, m, b, 0)
+			e.stop(now, b.On, b, 0)
 		}
-	})
+	}
 }
 
 // exited handles a reported exit, once.
@@ -277,11 +304,10 @@
 	current := j != nil && a.Task < len(j.Tasks) && j.Tasks[a.Task].Attempt == a.Number
 	ran := a.RunStart
 	e.moveAttempt(now, m, a, fleet.Exited)
-	a.Cause = t.Cause
+	a.Cause, a.ToldSeq = t.Cause, 0
 	if t.Cause == fleet.CauseDone {
 		e.debug("attempt done", "job", a.Ref, "task", a.Task, "machine", m.Name)
-		m.Errors = 0
-		clear(m.ErrorJobs)
+		m.Forgive()
 		if j == nil || j.Phase() != pipeline.Active || a.Task >= len(j.Tasks) {
 			a.Handled = true
 			return
@@ -289,11 +315,13 @@
 		if !ran.IsZero() && j.Estimate > 0 {
 			e.learn(j, now.Sub(ran))
 		}
+		e.useOf(a.Ref).results[a] = true // may be forgotten once written
 		j.Finish(a.Task)
 		if j.Settle() {
 			e.note("job complete", "job", j.Ref)
 		}
-		return // may be forgotten once written
+		e.writes.jobChanged(j)
+		return
 	}
 	a.Handled = true
 	e.debug("attempt exited", "job", a.Ref, "task", a.Task, "machine", m.Name, "cause", t.Cause, "saved", t.Saved)
@@ -304,7 +332,7 @@
 	case fleet.CauseError:
 		e.blame(now, m, j, a.Task)
 	case fleet.CauseNoRoom, fleet.CauseBusy:
-		m.HoldUntil = now.Add(e.cfg.ReportEvery)
+		m.HoldUntil = now.Add(min(e.cfg.ReportEvery, 3*time.Second))
 		m.DropImage(a.Image)
 	case fleet.CauseUnknown:
 		j.Tasks[a.Task].NotUntil = now.Add(2 * time.Second)
@@ -323,11 +351,13 @@
 
 // blame weighs an exit with an error against the machine before the job.
 func (e *Engine) blame(now time.Time, m *fleet.Machine, j *pipeline.Job, task int) {
-	m.Errors++
-	m.ErrorJobs[j.Ref] = true
+	m.Blame(j.Ref)
 	j.Abort(now, task, e.cfg.RestartLimit)
+	e.writes.jobChanged(j)
+	e.touch(m)
 	if !m.Sick && (len(m.ErrorJobs) >= sickJobs || m.Errors >= sickErrors && len(j.BadOn) == 0) {
 		m.Sick = true
+		e.watch.set(m, now)
 		e.note("machine taken for sick", "machine", m.Name, "errors", m.Errors)
 		for ref := range m.ErrorJobs {
 			if o := e.jobs[ref]; o != nil {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -9,24 +9,26 @@
 	"gingertally/internal/core/pipeline"
 )
 
-// inherit takes over what the records say may be on machines. Of several
+// inherit takes over what the start log says may be on machines. Of several
 // entries for one task only the highest attempt can be current: it was written
 // only after the ones before it were proven gone.
-func (e *Engine) inherit(now time.Time, stored []StoredMachine) {
+func (e *Engine) inherit(now time.Time, stored []StoredPage) {
 	type place struct {
-		m *fleet.Machine
-		n uint64
+		on   fleet.Placed
+		page *fleet.Page
+		n    uint64
 	}
 	newest := map[fleet.Key]place{}
 	for _, s := range stored {
-		m := fleet.NewMachine(now, s.Name, s.Record.Type, s.Record.Zone, s.Record.Spot, fleet.Unheard)
-		m.Addr, m.LastHeard, m.LeaseBase = s.Record.Addr, now, now
-		m.SetRecorded(s.Record, s.Version)
-		e.machines[m.Name] = m
-		for _, en := range s.Record.Entries {
-			k := fleet.Key{Ref: en.Ref, Task: en.Task}
-			if p, ok := newest[k]; !ok || en.Attempt > p.n {
-				newest[k] = place{m, en.Attempt}
+		p := fleet.NewPage(s.Name, s.Version)
+		e.writes.addPage(p)
+		for _, pl := range s.Record.Placed {
+			for _, en := range pl.Entries {
+				k := fleet.Key{Ref: en.Ref, Task: en.Task}
+				p.AddStale()
+				if o, ok := newest[k]; !ok || en.Attempt > o.n {
+					newest[k] = place{pl, p, en.Attempt}
+				}
 			}
 		}
 	}
@@ -35,10 +37,39 @@
 		if j == nil || k.Task >= len(j.Tasks) || j.Tasks[k.Task].State() == pipeline.Finished {
 			continue // should it still be there, the machine's report will say so
 		}
+		m := e.machines[p.on.Machine]
+		if m == nil {
+			m = fleet.NewMachine(now, p.on.Machine, p.on.Type, p.on.Zone, p.on.Spot, fleet.Unheard)
+			m.LastHeard, m.LeaseBase, m.Known = now, now, true
+			e.addMachine(now, m)
+			e.unheard++
+		}
 		a := &fleet.Attempt{Key: k, Number: p.n, Inherit: true, CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB, Image: j.Image}
-		e.attach(now, p.m, a, fleet.Recorded)
-		j.Assign(k.Task, p.m.Name, p.n)
+		e.attach(now, m, a, fleet.Recorded)
+		p.page.Add(a, true)
+		j.Assign(k.Task, m.Name, p.n)
+	}
+}
+
+// addMachine takes in a machine that is new here.
+func (e *Engine) addMachine(now time.Time, m *fleet.Machine) {
+	e.machines[m.Name] = m
+	e.watch.set(m, now)
+	e.touch(m)
+}
+
+// moveMachine takes a machine to another state; false if it is there already.
+func (e *Engine) moveMachine(now time.Time, m *fleet.Machine, to fleet.MachineState) bool {
+	was := m.State()
+	if !m.Move(to) {
+		return false
+	}
+	if was == fleet.Unheard {
+		e.unheard--
 	}
+	e.watch.set(m, now)
+	e.touch(m)
+	return true
 }
 
 // ListedMachine is one machine of the cloud's list.
@@ -72,12 +103,15 @@
 		m := e.machines[lm.Name]
 		if m == nil {
 			m = fleet.NewMachine(now, lm.Name, lm.Type, lm.Zone, lm.Spot, fleet.Booting)
-			m.Confirmed = true // no record names it
+			m.Confirmed = true // the start log doesn't name it
 			m.FirstSeen = now.Add(-lm.Held)
-			e.machines[m.Name] = m
-			e.replan = true
+			e.addMachine(now, m)
 		}
 		m.ListedAt = now
+		if !m.Known {
+			m.Known = true
+			e.touch(m)
+		}
 		if m.Addr == "" {
 			m.Addr = lm.Addr
 		}
@@ -103,8 +137,8 @@
 			continue
 		}
 		m := fleet.NewMachine(now, name, r.Rent.Type, r.Rent.Zone, r.Rent.Spot, fleet.Booting)
-		m.Confirmed = true
-		e.machines[name] = m
+		m.Confirmed, m.Known = true, true
+		e.addMachine(now, m)
 	}
 	e.replan = true
 	e.note("rental", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", r.Rent.Count, "got", len(r.Machines), "refused", r.Refused)
@@ -134,21 +168,18 @@
 
 // bury removes a machine that is proven gone with all on it.
 func (e *Engine) bury(now time.Time, m *fleet.Machine) {
-	m.Move(fleet.Gone)
+	e.moveMachine(now, m, fleet.Gone)
 	for _, a := range sortedAttempts(m) {
 		if a.State() == fleet.Exited {
-			m.Drop(now, a.Key)
+			e.drop(now, m, a)
 			e.unforgotten(now, a)
 			continue
 		}
 		e.lost(now, m, a, "machine gone")
 	}
-	if m.Version != 0 {
-		e.orphans[m.Name] = m.Version
-	}
 	delete(e.machines, m.Name)
+	delete(e.deaf, m)
 	e.gone[m.Name] = now
-	e.replan = true
 	e.note("machine gone", "machine", m.Name)
 }
 
@@ -157,7 +188,7 @@
 	if m.State() == fleet.Releasing && (m.ReleaseTries == 0 || now.Before(m.HoldUntil)) {
 		return
 	}
-	if m.Move(fleet.Releasing) {
+	if e.moveMachine(now, m, fleet.Releasing) {
 		e.note("machine released", "machine", m.Name, "type", m.Type, "why", why, "busy", m.Busy())
 	}
 	m.Draining, m.ReleaseTries = true, 0
@@ -172,28 +203,19 @@
 // maxRelease is how many machines one release may name (PROTOCOL).
 const maxRelease = 100
 
-// watchMachines notes silence, ended leases, and boots that take too long.
+// watchMachines looks at the machines for which it is time: silence, ended
+// leases, boots that take too long.
 func (e *Engine) watchMachines(now time.Time) {
-	for _, m := range e.sortedMachines() {
-		switch m.State() {
-		case fleet.Releasing:
-			if m.ReleaseTries > 0 {
-				e.release(now, m, "again")
-			}
-		case fleet.Booting:
-			if t, ok := e.catalog[m.Type]; ok && now.Sub(m.FirstSeen) > e.bootLimit(t.Boot) {
-				e.release(now, m, "never came up")
-			}
-		case fleet.Live, fleet.Silent, fleet.Unheard:
-			e.watchSilence(now, m)
-		}
-		if m.Sick || m.Draining || m.State() == fleet.Silent {
-			e.withdrawUnsent(now, m)
-		}
-		if m.State() == fleet.Live && (m.Sick || m.Draining) && m.Busy() == 0 && !e.owesForget(m) {
-			e.release(now, m, "drained")
+	for m := e.watch.due(now); m != nil; m = e.watch.due(now) {
+		next := e.watchMachine(now, m)
+		if m.State() != fleet.Gone {
+			e.watch.set(m, next)
 		}
 	}
+	if now.Sub(e.prunedAt) < time.Minute {
+		return
+	}
+	e.prunedAt = now
 	for name, at := range e.gone {
 		if now.Sub(at) > goneMemory {
 			delete(e.gone, name)
@@ -201,6 +223,54 @@
 	}
 }
 
+// watchAgain is how soon a machine is looked at again on which something is
+// going on.
+const watchAgain = 200 * time.Millisecond
+
+// watchMachine looks at one machine and says when to do so again.
+func (e *Engine) watchMachine(now time.Time, m *fleet.Machine) time.Time {
+	next := now.Add(watchAgain)
+	switch m.State() {
+	case fleet.Releasing:
+		if m.ReleaseTries > 0 {
+			e.release(now, m, "again")
+		}
+		next = now.Add(time.Second)
+	case fleet.Booting:
+		limit := e.bootLimit(time.Minute)
+		if t, ok := e.catalog[m.Type]; ok {
+			limit = e.bootLimit(t.Boot)
+		}
+		if now.Sub(m.FirstSeen) > limit {
+			e.release(now, m, "never came up")
+		}
+		next = now.Add(time.Second)
+	case fleet.Live, fleet.Silent, fleet.Unheard:
+		e.watchSilence(now, m)
+		e.watchDeaf(now, m)
+		if m.State() == fleet.Live && !m.Sick && !m.Draining && !e.deaf[m] {
+			next = m.LastHeard.Add(e.silentAfter() + time.Millisecond)
+		}
+	}
+	if m.Sick || m.Draining || m.State() == fleet.Silent {
+		e.withdrawUnsent(now, m)
+	}
+	if m.State() == fleet.Live && (m.Sick || m.Draining) && m.Busy() == 0 && !e.owesForget(m) {
+		e.release(now, m, "drained")
+	}
+	if !next.After(now) {
+		next = now.Add(watchAgain)
+	}
+	return next
+}
+
+// drainMachine keeps a machine from getting more starts; it goes back once empty.
+func (e *Engine) drainMachine(now time.Time, m *fleet.Machine) {
+	m.Draining = true
+	e.watch.set(m, now)
+	e.touch(m)
+}
+
 // withdrawUnsent takes back starts that haven't left from a machine that gets
 // no more of them; they would wait there for good.
 func (e *Engine) withdrawUnsent(now time.Time, m *fleet.Machine) {
@@ -245,9 +315,8 @@
 
 func (e *Engine) watchSilence(now time.Time, m *fleet.Machine) {
 	quiet := now.Sub(m.LastHeard)
-	if m.State() == fleet.Live && quiet > e.silentAfter() && m.Move(fleet.Silent) {
+	if m.State() == fleet.Live && quiet > e.silentAfter() && e.moveMachine(now, m, fleet.Silent) {
 		e.note("machine silent", "machine", m.Name, "busy", m.Busy())
-		e.replan = true
 	}
 	if m.State() != fleet.Live && quiet > e.silentAfter() && e.vanished(m) {
 		e.release(now, m, fmt.Sprintf("silent for %s", quiet.Round(time.Second)))
@@ -256,7 +325,7 @@
 	if !m.LeaseOver(now, e.cfg.Lease) {
 		return
 	}
-	m.Move(fleet.Silent) // whatever is placed on it now would be counted as gone at once
+	e.moveMachine(now, m, fleet.Silent) // whatever is placed on it now would be counted as gone at once
 	if m.Busy() > 0 {
 		e.note("lease over", "machine", m.Name, "busy", m.Busy())
 	}
@@ -274,7 +343,7 @@
 func (e *Engine) HasLive() bool {
 	for _, m := range e.machines {
 		if s := m.State(); s == fleet.Live || s == fleet.Silent {
-			return true
+			return true // mostly the first one looked at
 		}
 	}
 	return false
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -327,6 +327,9 @@
 	return out
 }
 
+// DirtyChunk tells whether one chunk is to be written.
+func (j *Job) DirtyChunk(chunk int) bool { return j.dirty[chunk] }
+
 // Clean notes that a chunk's present content is about to be written; Touch puts
 // it back if the write failed.
 func (j *Job) Clean(chunk int) { delete(j.dirty, chunk) }
--- /dev/null
+++ b/internal/core/placement/floor.go
@@ -0,0 +1,198 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// PoolKey names the machines that are alike: for a job, all are allowed or none.
+type PoolKey struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Pool holds the slots of machines that are alike. Its bounds spare a look at
+// them when none can have the room.
+type Pool struct {
+	Key   PoolKey
+	Type  *Type
+	Slots []*Slot // by name
+	most  fleet.Amount
+	stale bool // most may be too high or too low
+}
+
+// Floor is all machines that may take tasks, or soon will, by pool. It is kept up
+// as they change.
+type Floor struct {
+	Pools  []*Pool
+	byKey  map[PoolKey]*Pool
+	slots  map[*fleet.Machine]*Slot
+	marked []*Slot // that hold a round's reservation
+}
+
+// Set puts a machine on the floor, or brings its slot up to date. Future ones
+// are booting and take no tasks yet.
+func (f *Floor) Set(m *fleet.Machine, t *Type, future bool) {
+	if f.slots == nil {
+		f.slots, f.byKey = map[*fleet.Machine]*Slot{}, map[PoolKey]*Pool{}
+	}
+	s := f.slots[m]
+	if s != nil && s.Type != t {
+		f.Remove(m)
+		s = nil
+	}
+	if s == nil {
+		s = &Slot{Machine: m, Type: t, Zone: m.Zone, Spot: m.Spot}
+		s.pool = f.pool(PoolKey{m.Type, m.Zone, m.Spot}, t)
+		f.slots[m] = s
+		i := s.pool.find(m.Name)
+		s.pool.Slots = append(s.pool.Slots, nil)
+		copy(s.pool.Slots[i+1:], s.pool.Slots[i:])
+		s.pool.Slots[i] = s
+	}
+	u := m.Used()
+	s.CPUs, s.GPUs, s.MemG, s.Future = t.CPUs-u.CPUs, t.GPUs-u.GPUs, t.MemGB-u.MemGB, future
+	s.pool.stale = true
+}
+
+func (f *Floor) pool(k PoolKey, t *Type) *Pool {
+	p := f.byKey[k]
+	if p == nil {
+		p = &Pool{Key: k}
+		f.byKey[k] = p
+		f.Pools = append(f.Pools, p)
+		sort.Slice(f.Pools, func(i, j int) bool { return f.Pools[i].Key.before(f.Pools[j].Key) })
+	}
+	p.Type = t
+	return p
+}
+
+func (k PoolKey) before(o PoolKey) bool {
+	if k.Type != o.Type {
+		return k.Type < o.Type
+	}
+	if k.Zone != o.Zone {
+		return k.Zone < o.Zone
+	}
+	return !k.Spot && o.Spot
+}
+
+// Size is how many machines are on the floor.
+func (f *Floor) Size() int { return len(f.slots) }
+
+// Remove takes a machine off the floor.
+func (f *Floor) Remove(m *fleet.Machine) {
+	s := f.slots[m]
+	if s == nil {
+		return
+	}
+	delete(f.slots, m)
+	i := s.pool.find(m.Name)
+	s.pool.Slots = append(s.pool.Slots[:i], s.pool.Slots[i+1:]...)
+}
+
+func (p *Pool) find(name string) int {
+	return sort.Search(len(p.Slots), func(i int) bool { return p.Slots[i].Machine.Name >= name })
+}
+
+// Allowed tells whether a job may use the pool's machines at all.
+func (p *Pool) Allowed(sp *pipeline.Spec) bool {
+	return len(p.Slots) > 0 && sp.AllowsType(p.Key.Type) && (sp.Zone == "" || sp.Zone == p.Key.Zone) &&
+		(sp.Spot || !p.Key.Spot) && p.Type.Fits(sp)
+}
+
+// mayFit tells whether any slot might have room for a task: no is certain.
+func (p *Pool) mayFit(sp *pipeline.Spec) bool {
+	if p.stale {
+		p.stale, p.most = false, fleet.Amount{}
+		for _, s := range p.Slots {
+			p.most.CPUs, p.most.GPUs, p.most.MemGB = max(p.most.CPUs, s.CPUs), max(p.most.GPUs, s.GPUs), max(p.most.MemGB, s.MemG)
+		}
+	}
+	return p.most.CPUs+slack >= sp.CPUs && p.most.GPUs+slack >= sp.GPUs && p.most.MemGB+slack >= sp.MemGB
+}
+
+// EachOpen calls fn for each slot that now has room for a task of the job.
+func (f *Floor) EachOpen(sp *pipeline.Spec, zone string, fn func(*Slot)) {
+	for _, p := range f.Pools {
+		if (zone != "" && p.Key.Zone != zone) || !p.Allowed(sp) || !p.mayFit(sp) {
+			continue
+		}
+		for _, s := range p.Slots {
+			if !s.Future && s.Free(sp) > 0 {
+				fn(s)
+			}
+		}
+	}
+}
+
+// EachRoomy calls fn for each slot, booting ones too, that may have room for a
+// task of the job, reservations apart, until it returns false.
+func (f *Floor) EachRoomy(sp *pipeline.Spec, zone string, fn func(*Slot) bool) {
+	for _, p := range f.Pools {
+		if (zone != "" && p.Key.Zone != zone) || !p.Allowed(sp) || !p.mayFit(sp) {
+			continue
+		}
+		for _, s := range p.Slots {
+			if HowMany(s.CPUs, s.GPUs, s.MemG, sp) > 0 && !fn(s) {
+				return
+			}
+		}
+	}
+}
+
+// Plain copies a slot for planning, without its reservation.
+func (s *Slot) Plain() *Slot {
+	c := *s
+	c.reserved, c.pool = nil, nil
+	return &c
+}
+
+// EachAllowed calls fn for each slot of live machines that the job may use, with
+// room or not.
+func (f *Floor) EachAllowed(sp *pipeline.Spec, zone string, fn func(*Slot)) {
+	for _, p := range f.Pools {
+		if (zone == "" || p.Key.Zone == zone) && p.Allowed(sp) {
+			for _, s := range p.Slots {
+				if !s.Future {
+					fn(s)
+				}
+			}
+		}
+	}
+}
+
+// Zones lists the zones that have slots.
+func (f *Floor) Zones() []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, p := range f.Pools {
+		if len(p.Slots) > 0 && !seen[p.Key.Zone] {
+			seen[p.Key.Zone] = true
+			out = append(out, p.Key.Zone)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// reserve keeps what a slot has free, and will have, for a job; a round's
+// reservations end with it.
+func (f *Floor) reserve(s *Slot, left spare) {
+	s.reserved = &left
+	f.marked = append(f.marked, s)
+}
+
+// Clear ends the reservations of the last round.
+func (f *Floor) Clear() {
+	for _, s := range f.marked {
+		s.reserved = nil
+	}
+	f.marked = f.marked[:0]
+}
+
+// held tells whether a slot takes no tasks for the moment.
+func (s *Slot) held(now time.Time) bool { return s.Machine != nil && s.Machine.HoldUntil.After(now) }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"gingertally/internal/core/fleet"
@@ -107,35 +108,27 @@
 
 // Slot is a machine as a round sees it: what is free, and what it costs.
 type Slot struct {
-	Machine          *fleet.Machine
+	Machine          *fleet.Machine // nil: only planned to be rented
 	Type             *Type
 	Zone             string
 	Spot             bool
 	CPUs, GPUs, MemG float64
-	Room             int  // how many more attempts its record can hold
 	Future           bool // is booting: counts as coming, takes no tasks yet
 	reserved         *spare
-}
-
-// NewSlot makes the slot of a machine.
-func NewSlot(m *fleet.Machine, t *Type, maxEntries int) *Slot {
-	c, g, mem := m.Used()
-	return &Slot{Machine: m, Type: t, Zone: m.Zone, Spot: m.Spot, CPUs: t.CPUs - c, GPUs: t.GPUs - g,
-		MemG: t.MemGB - mem, Room: maxEntries - len(m.Tasks)}
+	pool             *Pool
 }
 
 // Take books a task of the job.
 func (s *Slot) Take(sp *pipeline.Spec) {
-	s.CPUs, s.GPUs, s.MemG, s.Room = s.CPUs-sp.CPUs, s.GPUs-sp.GPUs, s.MemG-sp.MemGB, s.Room-1
-	if r := s.reserved; r != nil {
+	s.CPUs, s.GPUs, s.MemG = s.CPUs-sp.CPUs, s.GPUs-sp.GPUs, s.MemG-sp.MemGB
+	if s.pool != nil {
+		s.pool.stale = true
+	}
+	if r := s.reserved; r != nil && r.ref != sp.Ref {
 		r.cpus, r.gpus, r.mem = r.cpus-sp.CPUs, r.gpus-sp.GPUs, r.mem-sp.MemGB
 	}
 }
 
-// Unreserve lifts a round's reservation, for planning in which the job that the
-// room is kept for is booked itself.
-func (s *Slot) Unreserve() { s.reserved = nil }
-
 // Allowed tells whether the job may use the slot's type, zone and kind.
 func (s *Slot) Allowed(sp *pipeline.Spec) bool {
 	return sp.AllowsType(s.Type.Name) && (sp.Zone == "" || sp.Zone == s.Zone) && (sp.Spot || !s.Spot)
@@ -143,8 +136,8 @@
 
 // Free is how many tasks of the job the slot still takes.
 func (s *Slot) Free(sp *pipeline.Spec) int {
-	n := min(HowMany(s.CPUs, s.GPUs, s.MemG, sp), s.Room)
-	if r := s.reserved; r != nil {
+	n := HowMany(s.CPUs, s.GPUs, s.MemG, sp)
+	if r := s.reserved; r != nil && r.ref != sp.Ref && n > 0 {
 		n = min(n, HowMany(r.cpus, r.gpus, r.mem, sp))
 	}
 	return n
@@ -198,13 +191,19 @@
 	Slot *Slot
 }
 
+// Turn is a job's place in a round, and how many of its tasks it may place there.
+type Turn struct {
+	Job  *pipeline.Job
+	Most int
+}
+
 // Board is what a round decides on.
 type Board struct {
 	Now     time.Time
-	Jobs    []*pipeline.Job // in ready order
-	Slots   []*Slot
+	Turns   []Turn // in ready order
+	Floor   *Floor
 	Team    func(name string) Team
-	Usage   func(team string) (cpus, gpus float64)
+	Usage   func(team string) fleet.Amount
 	InZones func(ref string) map[string]int // what of a job may be on machines
 	Busy    func(ref string) int
 	Commit  func(Decision)
@@ -212,10 +211,15 @@
 	EndOf   func(a *fleet.Attempt) time.Time // when an attempt is expected to leave
 	Due     func(j *pipeline.Job) time.Time  // when a job must start to keep its next aim
 	// MayStop tells whether an attempt may be stopped for a job, and what that
-	// would cost in seconds; Stop stops it.
-	MayStop func(by *pipeline.Job, a *fleet.Attempt) (cost float64, ok bool)
-	Stop    func(a *fleet.Attempt)
-	Spent   func() bool
+	// would cost in seconds; Stop stops it. Preempts tells whether it is worth
+	// asking.
+	MayStop  func(by *pipeline.Job, a *fleet.Attempt) (cost float64, ok bool)
+	Stop     func(a *fleet.Attempt)
+	Preempts func(by *pipeline.Job) bool
+	// Waits is for how many jobs that have no room this round keeps or makes some;
+	// without any, what the last such round kept stays so.
+	Waits int
+	Spent func() bool
 }
 
 // Round is a round of decisions that may take several goes.
@@ -223,19 +227,27 @@
 	resume string // the job it stopped before
 }
 
+// Resumes tells whether the next go continues a round.
+func (r *Round) Resumes() bool { return r.resume != "" }
+
 // Run goes through the jobs from where it last stopped until all were looked
 // at or the budget is spent; it tells whether it came to the end.
 func (r *Round) Run(b *Board) bool {
 	from := 0
 	if r.resume != "" {
-		for i, j := range b.Jobs {
-			if j.Ref == r.resume {
+		for i, t := range b.Turns {
+			if t.Job.Ref == r.resume {
 				from = i
+				break
 			}
 		}
 	}
 	r.resume = ""
-	for _, j := range b.Jobs[from:] {
+	if b.Waits > 0 && from == 0 {
+		b.Floor.Clear()
+	}
+	for _, t := range b.Turns[from:] {
+		j := t.Job
 		if b.Spent != nil && b.Spent() {
 			r.resume = j.Ref
 			return false
@@ -246,7 +258,7 @@
 		if j.Shape == pipeline.Gang {
 			b.placeGang(j)
 		} else {
-			b.placeTasks(j)
+			b.placeTasks(j, t.Most)
 		}
 	}
 	return true
@@ -254,14 +266,13 @@
 
 // quotaRoom is how many more tasks of the job its team's limit allows.
 func (b *Board) quotaRoom(j *pipeline.Job) int {
-	t := b.Team(j.Team)
-	c, g := b.Usage(j.Team)
+	t, u := b.Team(j.Team), b.Usage(j.Team)
 	n := maxPerMachine * 1000
 	if t.CPUsMax > 0 && j.CPUs > 0 {
-		n = min(n, int((t.CPUsMax-c+slack)/j.CPUs))
+		n = min(n, int((t.CPUsMax-u.CPUs+slack)/j.CPUs))
 	}
 	if t.GPUsMax > 0 && j.GPUs > 0 {
-		n = min(n, int((t.GPUsMax-g+slack)/j.GPUs))
+		n = min(n, int((t.GPUsMax-u.GPUs+slack)/j.GPUs))
 	}
 	return max(n, 0)
 }
@@ -282,43 +293,50 @@
 	return n
 }
 
-// best is the slot with the lowest score of those that take the task.
-func (b *Board) best(j *pipeline.Job, task int, zones map[string]int, only string) *Slot {
-	var best *Slot
-	low := math.Inf(1)
-	for _, s := range b.Slots {
-		if s.Future || (only != "" && s.Zone != only) || !s.Allowed(&j.Spec) || s.Free(&j.Spec) < 1 || ZoneRoom(j, s.Zone, zones) < 1 {
-			continue
-		}
-		if s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: task}] != nil || j.BadOn[s.Machine.Name] {
-			continue
-		}
-		if sc := Score(b.Now, s, j); sc < low {
-			best, low = s, sc
+// scored is a slot with its score for a job.
+type scored struct {
+	*Slot
+	score float64
+}
+
+// open lists the slots with room for the job, the best first.
+func (b *Board) open(j *pipeline.Job, zone string) []scored {
+	var out []scored
+	b.Floor.EachOpen(&j.Spec, zone, func(s *Slot) {
+		if !s.held(b.Now) && !j.BadOn[s.Machine.Name] {
+			out = append(out, scored{s, Score(b.Now, s, j)})
 		}
-	}
-	return best
+	})
+	sort.SliceStable(out, func(i, k int) bool { return out[i].score < out[k].score })
+	return out
 }
 
-func (b *Board) placeTasks(j *pipeline.Job) {
-	room := b.quotaRoom(j)
-	blocked, unmet := false, 0
-	for i := j.NextWaiting(b.Now, 0); i >= 0 && room > 0; i = j.NextWaiting(b.Now, i+1) {
-		if !blocked {
-			zones := b.InZones(j.Ref)
-			if s := b.best(j, i, zones, ""); s != nil {
-				s.Take(&j.Spec)
-				b.Commit(Decision{j, i, s})
-				room--
-				continue
-			}
-			blocked = true
-			b.wait(j, b.InZones(j.Ref))
+// placeTasks places as many tasks as there is room for, and at most so many.
+// Slots are filled one after the other, since a task more on a machine that has
+// the image, or is in use, costs nothing more.
+func (b *Board) placeTasks(j *pipeline.Job, most int) {
+	room := min(b.quotaRoom(j), most)
+	want := min(room, j.Count(pipeline.Waiting))
+	if want == 0 {
+		return
+	}
+	slots := b.open(j, "")
+	task := j.NextWaiting(b.Now, 0)
+	if task < 0 {
+		return
+	}
+	placed := 0
+	for _, s := range slots {
+		for task >= 0 && placed < want && s.Free(&j.Spec) > 0 && ZoneRoom(j, s.Zone, b.InZones(j.Ref)) > 0 &&
+			s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: task}] == nil {
+			s.Take(&j.Spec)
+			b.Commit(Decision{j, task, s.Slot})
+			placed++
+			task = j.NextWaiting(b.Now, task+1)
 		}
-		unmet++
-		room--
 	}
-	if unmet > 0 {
+	if unmet := want - placed; unmet > 0 && task >= 0 {
+		b.wait(j, 1, b.InZones(j.Ref))
 		b.Unmet(j, unmet)
 	}
 }
@@ -335,54 +353,51 @@
 			return
 		}
 	}
-	zones := []string{""}
-	if j.OneZone && n > 1 {
-		zones = b.zoneNames()
-	}
-	for _, z := range zones {
-		if chosen := b.tryGang(j, z); chosen != nil {
-			for i, s := range chosen {
-				b.Commit(Decision{j, i, s})
-			}
-			return
+	var best []*Slot
+	low := math.Inf(1)
+	for _, z := range b.gangZones(j) {
+		if chosen, score := b.tryGang(j, z); chosen != nil && score < low {
+			best, low = chosen, score
 		}
 	}
-	if n == 1 {
-		b.wait(j, nil)
+	if best != nil {
+		for i, s := range best {
+			s.Take(&j.Spec)
+			b.Commit(Decision{j, i, s})
+		}
+		return
 	}
+	b.wait(j, n, map[string]int{})
 	b.Unmet(j, n)
 }
 
-func (b *Board) zoneNames() []string {
-	var out []string
-	seen := map[string]bool{}
-	for _, s := range b.Slots {
-		if !seen[s.Zone] {
-			seen[s.Zone] = true
-			out = append(out, s.Zone)
-		}
+// gangZones are the zones to try one by one; an empty name stands for all.
+func (b *Board) gangZones(j *pipeline.Job) []string {
+	if j.OneZone && len(j.Tasks) > 1 {
+		return b.Floor.Zones()
 	}
-	return out
+	return []string{""}
 }
 
-func (b *Board) tryGang(j *pipeline.Job, zone string) []*Slot {
+// tryGang chooses places for a whole gang. Its score is that of the worst place,
+// since a gang starts with its last image, and a little for all the others.
+func (b *Board) tryGang(j *pipeline.Job, zone string) ([]*Slot, float64) {
 	var chosen []*Slot
 	zones := map[string]int{}
-	saved := map[*Slot]Slot{}
-	for i := range j.Tasks {
-		s := b.best(j, i, zones, zone)
-		if s == nil {
-			for p, old := range saved {
-				*p = old
+	worst, sum := 0.0, 0.0
+	for _, s := range b.open(j, zone) {
+		for range s.Free(&j.Spec) {
+			i := len(chosen)
+			if i == len(j.Tasks) || ZoneRoom(j, s.Zone, zones) < 1 || s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: i}] != nil {
+				break
 			}
-			return nil
+			zones[s.Zone]++
+			chosen = append(chosen, s.Slot)
+			worst, sum = max(worst, s.score), sum+s.score
 		}
-		if _, ok := saved[s]; !ok {
-			saved[s] = *s
-		}
-		s.Take(&j.Spec)
-		zones[s.Zone]++
-		chosen = append(chosen, s)
 	}
-	return chosen
+	if len(chosen) < len(j.Tasks) {
+		return nil, 0
+	}
+	return chosen, worst + sum/float64(len(chosen))
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -48,23 +48,27 @@
 	t.Helper()
 	b := &board{}
 	now := time.Unix(100, 0)
-	b.Board = Board{Now: now, Jobs: jobs,
+	b.Board = Board{Now: now, Floor: &Floor{}, Waits: 5,
 		Team:    func(string) Team { return Team{CPUsMax: 40} },
-		Usage:   func(string) (c, g float64) { return float64(8 * len(b.placed)), 0 },
+		Usage:   func(string) fleet.Amount { return fleet.Amount{CPUs: float64(8 * len(b.placed))} },
 		InZones: func(string) map[string]int { return map[string]int{} },
 		Busy:    func(string) int { return 0 },
 		Commit: func(d Decision) {
 			b.placed = append(b.placed, d)
 			d.Job.Assign(d.Task, d.Slot.Machine.Name, 1)
 		},
-		Unmet:   func(_ *pipeline.Job, n int) { b.unmet += n },
-		EndOf:   func(*fleet.Attempt) time.Time { return now.Add(time.Minute) },
-		Due:     func(*pipeline.Job) time.Time { return now.Add(time.Second) },
-		MayStop: func(_ *pipeline.Job, a *fleet.Attempt) (float64, bool) { return 1, a.Ref == "j-9" },
-		Stop:    func(a *fleet.Attempt) { b.stopped = append(b.stopped, a) },
+		Unmet:    func(_ *pipeline.Job, n int) { b.unmet += n },
+		EndOf:    func(*fleet.Attempt) time.Time { return now.Add(time.Minute) },
+		Due:      func(*pipeline.Job) time.Time { return now.Add(time.Second) },
+		MayStop:  func(_ *pipeline.Job, a *fleet.Attempt) (float64, bool) { return 1, a.Ref == "j-9" },
+		Stop:     func(a *fleet.Attempt) { b.stopped = append(b.stopped, a) },
+		Preempts: func(*pipeline.Job) bool { return true },
+	}
+	for _, j := range jobs {
+		b.Turns = append(b.Turns, Turn{j, len(j.Tasks)})
 	}
 	for _, m := range machines {
-		b.Slots = append(b.Slots, NewSlot(m, types[m.Type], 50))
+		b.Floor.Set(m, types[m.Type], false)
 	}
 	return b
 }
@@ -138,6 +142,32 @@
 	}
 }
 
+// A gang of several tasks makes room for itself in one zone, or not at all, and
+// keeps what it has made: gangs were once left out of preemption.
+func TestGangMakesRoom(t *testing.T) {
+	gang := job(t, pipeline.Spec{Ref: "j-1", Tasks: 2, CPUs: 8, Priority: pipeline.High, Shape: pipeline.Gang, OneZone: true})
+	small := job(t, pipeline.Spec{Ref: "j-2", Tasks: 4, CPUs: 1, Priority: pipeline.Normal})
+	b := newBoard(t, []*pipeline.Job{gang, small}, machine("m-1", "cpu", "a", "j-9"), machine("m-2", "cpu", "a", "j-8"),
+		machine("m-3", "cpu", "b", "j-9"), machine("m-4", "cpu", "b", "j-9"))
+	if new(Round).Run(&b.Board); len(b.stopped) != 2 {
+		t.Fatalf("stopped %v", b.stopped)
+	}
+	for _, a := range b.stopped {
+		if a.On.Zone != "b" {
+			t.Errorf("stopped on %s in zone %s", a.On.Name, a.On.Zone)
+		}
+	}
+	for _, d := range b.placed {
+		if d.Slot.Zone == "b" {
+			t.Errorf("%s took room that was made for the gang", d.Job.Ref)
+		}
+	}
+	b = newBoard(t, []*pipeline.Job{gang}, machine("m-1", "cpu", "a", "j-9"), machine("m-3", "cpu", "b", "j-9"))
+	if new(Round).Run(&b.Board); len(b.stopped) != 0 {
+		t.Fatalf("stopped %v although a part isn't enough", b.stopped)
+	}
+}
+
 // A round that runs out of its budget goes on where it stopped.
 func TestRoundResumes(t *testing.T) {
 	var jobs []*pipeline.Job
--- a/internal/core/placement/preempt.go
+++ b/internal/core/placement/preempt.go
@@ -12,64 +12,92 @@
 // ones that come later would go on filling the room that it waits for.
 const largeShare = 0.3
 
-// spare is what a reserved slot may still give to others.
-type spare struct{ cpus, gpus, mem float64 }
+// spare is what a reserved slot may still give to jobs other than the one it is
+// kept for.
+type spare struct {
+	ref             string
+	cpus, gpus, mem float64
+}
 
 func (f spare) plus(a *fleet.Attempt) spare {
-	return spare{f.cpus + a.CPUs, f.gpus + a.GPUs, f.mem + a.MemGB}
+	return spare{f.ref, f.cpus + a.CPUs, f.gpus + a.GPUs, f.mem + a.MemGB}
 }
 
 func (f spare) less(sp *pipeline.Spec) spare {
-	return spare{f.cpus - sp.CPUs, f.gpus - sp.GPUs, f.mem - sp.MemGB}
+	return spare{sp.Ref, f.cpus - sp.CPUs, f.gpus - sp.GPUs, f.mem - sp.MemGB}
 }
 
 func (f spare) fits(sp *pipeline.Spec) bool { return HowMany(f.cpus, f.gpus, f.mem, sp) > 0 }
 
-// wait is called for a task that has no room now: room that is coming is kept
-// for it, and if it comes too late, room is made by stopping what may be stopped.
-func (b *Board) wait(j *pipeline.Job, zones map[string]int) {
-	s, at, left := b.soonest(j, zones)
-	if s != nil && !at.After(b.Due(j)) {
-		b.reserve(s, j, left)
+// wait is called for a job that has no room now for n tasks at once: room that
+// is coming is kept for it, and if that comes too late, room is made by stopping
+// what may be stopped. Each round does so for a few jobs, the first in the order.
+func (b *Board) wait(j *pipeline.Job, n int, zones map[string]int) {
+	preempts := b.Preempts(j)
+	if b.Waits == 0 || !(preempts || n > 1 || b.large(j)) {
 		return
 	}
-	if b.makeRoom(j, zones) {
-		return
+	b.Waits--
+	places, at := b.soonest(j, n, zones)
+	if len(places) < n || at.After(b.Due(j)) {
+		if preempts && b.makeRoom(j, n, zones) {
+			return
+		}
 	}
-	if s != nil {
-		b.reserve(s, j, left)
+	for _, p := range places {
+		if n > 1 || Share(p.slot.Type, &j.Spec) >= largeShare {
+			b.Floor.reserve(p.slot, p.left)
+		}
 	}
 }
 
-// reserve keeps a slot from giving a large task's room to jobs that come later
-// in the order.
-func (b *Board) reserve(s *Slot, j *pipeline.Job, left spare) {
-	if Share(s.Type, &j.Spec) >= largeShare {
-		s.reserved = &left
+// large tells whether the job's tasks count as large on some type it may use.
+func (b *Board) large(j *pipeline.Job) bool {
+	for _, p := range b.Floor.Pools {
+		if p.Allowed(&j.Spec) && Share(p.Type, &j.Spec) >= largeShare {
+			return true
+		}
 	}
+	return false
 }
 
 func (b *Board) usable(s *Slot, j *pipeline.Job, zones map[string]int) bool {
-	return !s.Future && s.reserved == nil && s.Room > 0 && s.Allowed(&j.Spec) && s.Type.Fits(&j.Spec) &&
-		ZoneRoom(j, s.Zone, zones) > 0 && !j.BadOn[s.Machine.Name]
+	return s.reserved == nil && ZoneRoom(j, s.Zone, zones) > 0 && !j.BadOn[s.Machine.Name]
 }
 
-// soonest is the slot where a task of the job will fit first, when that will
-// be, and what will then be left.
-func (b *Board) soonest(j *pipeline.Job, zones map[string]int) (best *Slot, at time.Time, left spare) {
-	for _, s := range b.Slots {
-		if !b.usable(s, j, zones) {
+// place is a slot that takes, or will take, a task of a waiting job.
+type place struct {
+	slot    *Slot
+	at      time.Time
+	left    spare
+	cost    float64
+	victims []*fleet.Attempt
+}
+
+// soonest are the slots where n tasks of the job will first fit, one each, and
+// when the last of them will; in one zone where they must be.
+func (b *Board) soonest(j *pipeline.Job, n int, zones map[string]int) (best []place, at time.Time) {
+	for _, z := range b.gangZones(j) {
+		var all []place
+		b.Floor.EachAllowed(&j.Spec, z, func(s *Slot) {
+			if b.usable(s, j, zones) {
+				t, rest := b.roomAt(s, &j.Spec)
+				all = append(all, place{slot: s, at: t, left: rest})
+			}
+		})
+		if len(all) < n {
 			continue
 		}
-		if t, rest := b.roomAt(s, &j.Spec); best == nil || t.Before(at) {
-			best, at, left = s, t, rest
+		sort.SliceStable(all, func(i, k int) bool { return all[i].at.Before(all[k].at) })
+		if last := all[n-1].at; best == nil || last.Before(at) {
+			best, at = all[:n], last
 		}
 	}
-	return best, at, left
+	return best, at
 }
 
 func present(m *fleet.Machine) []*fleet.Attempt {
-	var out []*fleet.Attempt
+	out := make([]*fleet.Attempt, 0, len(m.Tasks))
 	for _, a := range m.Tasks {
 		if a.State() != fleet.Exited {
 			out = append(out, a)
@@ -86,71 +114,93 @@
 
 // roomAt is when a slot will have room for a task, and what will then be left.
 func (b *Board) roomAt(s *Slot, sp *pipeline.Spec) (time.Time, spare) {
-	ends := present(s.Machine)
-	sort.SliceStable(ends, func(i, k int) bool { return b.EndOf(ends[i]).Before(b.EndOf(ends[k])) })
-	at, free := b.Now, spare{s.CPUs, s.GPUs, s.MemG}
-	for _, a := range ends {
+	at, free := b.Now, spare{sp.Ref, s.CPUs, s.GPUs, s.MemG}
+	if free.fits(sp) {
+		return at, free.less(sp)
+	}
+	type end struct {
+		a  *fleet.Attempt
+		at time.Time
+	}
+	var ends []end
+	for _, a := range present(s.Machine) {
+		ends = append(ends, end{a, b.EndOf(a)})
+	}
+	sort.SliceStable(ends, func(i, k int) bool { return ends[i].at.Before(ends[k].at) })
+	for _, e := range ends {
 		if free.fits(sp) {
 			break
 		}
-		at, free = b.EndOf(a), free.plus(a)
+		at, free = e.at, free.plus(e.a)
 	}
 	return at, free.less(sp)
 }
 
-// makeRoom stops what must make way for a task of the job, on the machine where
-// that loses the least, and keeps the room for it.
-func (b *Board) makeRoom(j *pipeline.Job, zones map[string]int) bool {
-	var best *Slot
-	var victims []*fleet.Attempt
-	var left spare
+// makeRoom stops what must make way for n tasks of the job, on the machines
+// where that loses the least, and keeps the room for it. It is all or nothing.
+func (b *Board) makeRoom(j *pipeline.Job, n int, zones map[string]int) bool {
+	var best []place
 	low := 0.0
-	for _, s := range b.Slots {
-		if !b.usable(s, j, zones) {
+	for _, z := range b.gangZones(j) {
+		var all []place
+		b.Floor.EachAllowed(&j.Spec, z, func(s *Slot) {
+			if !b.usable(s, j, zones) {
+				return
+			}
+			if p, ok := b.victims(s, j); ok {
+				all = append(all, p)
+			}
+		})
+		if len(all) < n {
 			continue
 		}
-		v, cost, rest, ok := b.victims(s, j)
-		if ok && (best == nil || cost < low) {
-			best, victims, left, low = s, v, rest, cost
+		sort.SliceStable(all, func(i, k int) bool { return all[i].cost < all[k].cost })
+		sum := 0.0
+		for _, p := range all[:n] {
+			sum += p.cost
+		}
+		if best == nil || sum < low {
+			best, low = all[:n], sum
 		}
 	}
-	if best == nil {
-		return false
-	}
-	best.reserved = &left
-	for _, a := range victims {
-		b.Stop(a)
+	for _, p := range best {
+		b.Floor.reserve(p.slot, p.left)
+		for _, a := range p.victims {
+			b.Stop(a)
+		}
 	}
-	return true
+	return best != nil
 }
 
 // victims are the attempts on a slot to stop for a task of the job, what that
 // costs in seconds of delay and lost work, and what room it leaves.
-func (b *Board) victims(s *Slot, j *pipeline.Job) ([]*fleet.Attempt, float64, spare, bool) {
-	free := spare{s.CPUs, s.GPUs, s.MemG}
+func (b *Board) victims(s *Slot, j *pipeline.Job) (place, bool) {
+	free := spare{j.Ref, s.CPUs, s.GPUs, s.MemG}
 	type candidate struct {
 		a    *fleet.Attempt
 		cost float64
 	}
 	var may []candidate
-	for _, a := range present(s.Machine) {
-		if a.Stopping {
-			free = free.plus(a) // on its way out already
-			continue
-		}
-		if cost, ok := b.MayStop(j, a); ok {
-			may = append(may, candidate{a, cost})
+	if !free.fits(&j.Spec) {
+		for _, a := range present(s.Machine) {
+			if a.Stopping {
+				free = free.plus(a) // on its way out already
+				continue
+			}
+			if cost, ok := b.MayStop(j, a); ok {
+				may = append(may, candidate{a, cost})
+			}
 		}
+		sort.SliceStable(may, func(i, k int) bool { return may[i].cost < may[k].cost })
 	}
-	sort.SliceStable(may, func(i, k int) bool { return may[i].cost < may[k].cost })
-	var out []*fleet.Attempt
-	total := 0.0
+	p := place{slot: s}
 	for _, c := range may {
 		if free.fits(&j.Spec) {
 			break
 		}
-		free, total = free.plus(c.a), total+c.cost
-		out = append(out, c.a)
+		free, p.cost = free.plus(c.a), p.cost+c.cost
+		p.victims = append(p.victims, c.a)
 	}
-	return out, total, free.less(&j.Spec), free.fits(&j.Spec)
+	p.left = free.less(&j.Spec)
+	return p, free.fits(&j.Spec)
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -24,11 +24,12 @@
 	m := e.machines[rep.Machine]
 	if m == nil {
 		m = fleet.NewMachine(now, rep.Machine, rep.Type, rep.Zone, rep.Spot, fleet.Booting)
-		m.Confirmed = true // no record names it, so it never held a task
-		e.machines[m.Name] = m
+		m.Confirmed = true // the start log doesn't name it, so it never held a task
+		e.addMachine(now, m)
 		e.note("machine reports unexpectedly", "machine", m.Name, "type", m.Type, "zone", m.Zone)
 	}
 	if !m.Newer(&rep) {
+		e.older(now, m, &rep)
 		return // an old copy proves nothing and must not renew the lease
 	}
 	busy := m.Busy()
@@ -42,6 +43,17 @@
 	m.LeaseBase = now
 }
 
+// older handles a report that isn't newer than all known ones. Mostly it is a
+// late copy. If such reports rise steadily while nothing newer comes, the
+// machine's worker has started anew and counts from one: all that was there is
+// lost, and since nothing tells its reports from copies, the machine goes back.
+func (e *Engine) older(now time.Time, m *fleet.Machine, r *fleet.Report) {
+	again := m.Regress.Note(now, r, e.cfg.ReportEvery)
+	if again && now.Sub(m.LastHeard) > e.silentAfter() {
+		e.release(now, m, "started anew")
+	}
+}
+
 // Collect completes the reply to a report that was held for a moment.
 type Collect struct{ Report fleet.Report }
 
@@ -57,18 +69,19 @@
 // hear takes in a report that is newer than all before it.
 func (e *Engine) hear(now time.Time, m *fleet.Machine, r *fleet.Report) {
 	newSession := r.Session > m.Session
-	was := m.State()
+	was, quiet := m.State(), now.Sub(m.LastHeard)
 	if was == fleet.Booting {
 		m.IdleSince = now
 	}
-	if was != fleet.Releasing && m.Move(fleet.Live) {
+	if was != fleet.Releasing && e.moveMachine(now, m, fleet.Live) {
 		e.note("machine live", "machine", m.Name, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "was", was.String(), "after", now.Sub(m.FirstSeen))
-		e.replan = true
 	}
+	e.judgeHearing(now, m, r, newSession && was == fleet.Live && quiet < e.cfg.Lease/2)
 	m.Addr, m.LastHeard = r.Addr, now
-	m.Session, m.Seq = r.Session, r.Seq
-	if r.Token == e.term {
-		m.Confirmed = true
+	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
+	if r.Token == e.term && (!m.Confirmed || !m.Known) {
+		m.Confirmed, m.Known = true, true
+		e.touch(m)
 	}
 	if newSession {
 		// The worker killed and forgot all that earlier sessions held, also what
@@ -81,24 +94,95 @@
 			e.lost(now, m, a, "session over")
 		}
 	}
-	listed := make(map[fleet.Key]uint64, len(r.Tasks))
-	for _, t := range r.Tasks {
-		e.hearTask(now, m, t)
-		listed[fleet.Key{Ref: t.Ref, Task: t.Task}] = t.Attempt
+	for i := range r.Tasks {
+		e.hearTask(now, m, r.Token, r.Tasks[i])
 	}
+	if len(m.Tasks) > 0 {
+		e.hearMissing(now, m, r)
+	}
+	e.notice(now, m, r.Notice)
+}
+
+// judgeHearing looks for traces of what the machine was last told.
+func (e *Engine) judgeHearing(now time.Time, m *fleet.Machine, r *fleet.Report, leaseEnded bool) {
+	heeded, ignored := false, leaseEnded
+	if m.Deaf.Told {
+		heeded, ignored = r.Token == e.term, ignored || r.Token != e.term
+	}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		a := m.Tasks[fleet.Key{Ref: t.Ref, Task: t.Task}]
+		if a == nil || a.Number != t.Attempt || a.ToldSeq == 0 || a.ToldSeq >= r.Seq {
+			continue
+		}
+		switch {
+		case a.State() == fleet.Sent:
+			heeded = true
+		case t.State == fleet.Exited && a.State() == fleet.Exited, a.Stopping && a.Grace == 0 && t.State < fleet.Saving:
+			ignored = true // a clear, or a stop that asks for no saving
+		}
+	}
+	for _, a := range m.Tasks {
+		if a.State() == fleet.Sent && a.ToldSeq < r.Seq && !lists(r, a) {
+			ignored = true
+		}
+	}
+	switch {
+	case heeded:
+		if m.Deaf.Count > 1 {
+			e.touch(m)
+		}
+		m.Deaf.Heeded()
+		delete(e.deaf, m)
+	case ignored:
+		m.Deaf.Ignored(now)
+		m.HoldUntil = now.Add(deafPause)
+		e.touch(m)
+		if m.Deaf.Count > 1 || leaseEnded {
+			e.deaf[m] = true
+			e.watch.set(m, now)
+		}
+	}
+}
+
+// deafPause is how long a machine gets no starts after an answer that it seems
+// not to have had. After the second in a row it gets none until it heeds one.
+const deafPause = 2 * time.Second
+
+func lists(r *fleet.Report, a *fleet.Attempt) bool {
+	for i := range r.Tasks {
+		if t := &r.Tasks[i]; t.Attempt == a.Number && t.Task == a.Task && t.Ref == a.Ref {
+			return true
+		}
+	}
+	return false
+}
+
+// watchDeaf gives a machine back that has heeded nothing for long: its worker's
+// lease isn't renewed by answers that don't arrive, so all on it is as good as
+// lost. When many seem deaf at once, it is this node that can't be heard.
+func (e *Engine) watchDeaf(now time.Time, m *fleet.Machine) {
+	if !e.deaf[m] || now.Sub(m.Deaf.Since) < e.cfg.Lease/2 || len(e.deaf) > max(2, len(e.machines)/4) {
+		return
+	}
+	e.release(now, m, "hears nothing")
+}
+
+// hearMissing deals with attempts that a report doesn't list.
+func (e *Engine) hearMissing(now time.Time, m *fleet.Machine, r *fleet.Report) {
 	for _, a := range sortedAttempts(m) {
-		if n, ok := listed[a.Key]; ok && n == a.Number {
+		if lists(r, a) {
 			continue
 		}
 		switch {
 		case a.State() == fleet.Exited:
-			m.Drop(now, a.Key)
+			e.drop(now, m, a)
 			e.unforgotten(now, a)
 		case a.Inherit:
 			if m.Confirmed {
 				e.lost(now, m, a, "not reported under this term")
 			}
-		case a.State() == fleet.Sent && r.Seq > a.SentSeq:
+		case a.State() == fleet.Sent && r.Seq > a.ToldSeq:
 			// The response with the start was answered or dropped before this
 			// report was sent; the worker never executes it later.
 			e.lost(now, m, a, "start dropped")
@@ -106,7 +190,6 @@
 			e.lost(now, m, a, "no longer reported")
 		}
 	}
-	e.notice(now, m, r.Notice)
 }
 
 // unforgotten handles an exit that left the reports before it was dealt with
@@ -117,8 +200,8 @@
 	}
 }
 
-// hearTask takes in one task of a report.
-func (e *Engine) hearTask(now time.Time, m *fleet.Machine, t fleet.TaskReport) {
+// hearTask takes in one task of a report that was sent under a token.
+func (e *Engine) hearTask(now time.Time, m *fleet.Machine, token uint64, t fleet.TaskReport) {
 	k := fleet.Key{Ref: t.Ref, Task: t.Task}
 	a := m.Tasks[k]
 	if a != nil && a.Number != t.Attempt {
@@ -133,6 +216,11 @@
 		}
 	}
 	if a == nil {
+		if token != e.term && t.State != fleet.Exited {
+			// The start log names every attempt that isn't proven gone, and it
+			// doesn't name this one: the report is a late copy.
+			return
+		}
 		a = e.adopt(now, m, t)
 	}
 	a.Inherit = false
@@ -189,6 +277,10 @@
 // commands is what the worker is told in answer to the report just heard: first
 // what it may forget, then stops, then starts.
 func (e *Engine) commands(now time.Time, m *fleet.Machine) []fleet.Command {
+	m.Deaf.Told = m.Token != e.term
+	if len(m.Tasks) == 0 {
+		return nil
+	}
 	var clears, stops, starts []fleet.Command
 	for _, a := range sortedAttempts(m) {
 		c := fleet.Command{Ref: a.Ref, Task: a.Task, Attempt: a.Number}
@@ -196,6 +288,7 @@
 		case st == fleet.Exited:
 			if a.Handled {
 				c.Op = fleet.Forget
+				a.ToldSeq = m.Seq
 				clears = append(clears, c)
 			}
 		case a.Stopping:
@@ -203,10 +296,11 @@
 				continue // it saves; a second stop could end that
 			}
 			c.Op, c.Grace = fleet.Stop, a.Grace
+			a.ToldSeq = m.Seq
 			stops = append(stops, c)
 		case st == fleet.Recorded && !a.Inherit && e.mayStart(m):
 			c.Op = fleet.Start
-			a.SentSeq = m.Seq
+			a.ToldSeq = m.Seq
 			e.moveAttempt(now, m, a, fleet.Sent)
 			cache, rate := e.catalog.Images(m.Type)
 			m.UseImage(now, a.Image, e.imageGB(a.Ref), cache, rate)
@@ -219,7 +313,7 @@
 
 // mayStart tells whether a machine may be given starts.
 func (e *Engine) mayStart(m *fleet.Machine) bool {
-	return m.Confirmed && !m.Draining && !m.Sick && m.State() == fleet.Live
+	return m.Confirmed && m.Known && !m.Draining && !m.Sick && !e.deaf[m] && m.State() == fleet.Live
 }
 
 func (e *Engine) imageGB(ref string) float64 {
@@ -238,7 +332,8 @@
 	if m.NoticeAt.IsZero() {
 		e.note("machine will be taken", "machine", m.Name, "in", left)
 	}
-	m.NoticeAt, m.Draining = now.Add(left), true
+	m.NoticeAt = now.Add(left)
+	e.drainMachine(now, m)
 	e.drain(now, m, left)
 }
 
@@ -263,7 +358,9 @@
 		e.stop(now, m, a, grace)
 		return
 	}
-	e.attemptsOf(a.Ref, func(om *fleet.Machine, o *fleet.Attempt) { e.stop(now, om, o, grace) })
+	for _, o := range e.attemptsOf(a.Ref) {
+		e.stop(now, o.On, o, grace)
+	}
 }
 
 func sortedAttempts(m *fleet.Machine) []*fleet.Attempt {
@@ -279,12 +376,3 @@
 	})
 	return out
 }
-
-func (e *Engine) sortedMachines() []*fleet.Machine {
-	out := make([]*fleet.Machine, 0, len(e.machines))
-	for _, m := range e.machines {
-		out = append(out, m)
-	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
-	return out
-}
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -41,6 +41,13 @@
 	return b.reportAs(machine, token, b.seq[machine], tasks...)
 }
 
+// up brings a machine up that has not been heard of: only its second report,
+// under this term's token, is certainly no late copy.
+func (b *bench) up(machine string) {
+	b.report(machine, 0)
+	b.report(machine, b.e.term)
+}
+
 func (b *bench) reportAs(machine string, token, seq uint64, tasks ...fleet.TaskReport) Reply {
 	r := fleet.Report{Machine: machine, Addr: machine, Type: "big", Zone: "a", Session: 1, Seq: seq, Token: token, Notice: -1, Tasks: tasks}
 	eff := b.e.Step(b.now, ReportIn{r})
@@ -80,7 +87,7 @@
 // otherwise a later leader wouldn't know of it.
 func TestStartOnlyAfterRecord(t *testing.T) {
 	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
-	b.report("m-1", 0)
+	b.up("m-1")
 	b.pass(6*time.Second, false)
 	if s := starts(b.report("m-1", 2)); len(s) != 0 {
 		t.Fatalf("started before the record was written: %v", s)
@@ -91,17 +98,21 @@
 	}
 }
 
+// page is a page of the start log with one attempt of j-1/0.
+func page(name, machine string, attempt uint64) StoredPage {
+	return StoredPage{Name: name, Version: 3, Record: fleet.Record{Placed: []fleet.Placed{
+		{Machine: machine, Type: "big", Zone: "a", Entries: []fleet.Entry{{Ref: "j-1", Task: 0, Attempt: attempt}}}}}}
+}
+
 func inherited() Snapshot {
-	return Snapshot{Jobs: []StoredJob{job("j-1", 1)}, Machines: []StoredMachine{
-		{Name: "m-1", Version: 3, Record: fleet.Record{Type: "big", Zone: "a", Addr: "m-1", Entries: []fleet.Entry{{Ref: "j-1", Task: 0, Attempt: 1 << attemptBits}}}},
-	}}
+	return Snapshot{Jobs: []StoredJob{job("j-1", 1)}, Pages: []StoredPage{page("1-1", "m-1", 1<<attemptBits)}}
 }
 
 // A report without this term's token may have been sent before an earlier
 // leader's last start arrived, so it can't prove an inherited attempt absent.
 func TestInheritedAttemptNeedsConfirmedReport(t *testing.T) {
 	b := newBench(t, 2, inherited())
-	b.report("m-2", 0)
+	b.up("m-2")
 	b.report("m-1", 1) // lists nothing, but was sent under term 1
 	b.pass(6*time.Second, true)
 	if s := starts(b.report("m-2", 2)); len(s) != 0 {
@@ -119,7 +130,7 @@
 func TestInheritedAttemptUntilLeaseOver(t *testing.T) {
 	b := newBench(t, 2, inherited())
 	start := b.now
-	b.report("m-2", 0)
+	b.up("m-2")
 	for {
 		b.pass(3*time.Second, true)
 		if len(starts(b.report("m-2", 2))) > 0 {
@@ -137,8 +148,7 @@
 // Of several records that name a task, only the highest attempt can be current.
 func TestHighestAttemptCounts(t *testing.T) {
 	snap := inherited()
-	snap.Machines = append(snap.Machines, StoredMachine{Name: "m-0", Version: 2, Record: fleet.Record{Type: "big", Zone: "a",
-		Entries: []fleet.Entry{{Ref: "j-1", Task: 0, Attempt: 1<<attemptBits - 5}}}})
+	snap.Pages = append(snap.Pages, page("1-0", "m-0", 1<<attemptBits-5))
 	b := newBench(t, 2, snap)
 	b.report("m-1", 1)
 	b.report("m-1", 2) // proves the attempt there gone; m-0 is never heard
@@ -151,7 +161,7 @@
 // started brings a bench to where a task has been started on m-1.
 func started(t *testing.T) (*bench, fleet.Command) {
 	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
-	b.report("m-1", 0)
+	b.up("m-1")
 	b.pass(6*time.Second, true)
 	s := starts(b.report("m-1", 2))
 	if len(s) != 1 {
@@ -180,7 +190,7 @@
 func TestDroppedStart(t *testing.T) {
 	b, c := started(t)
 	b.report("m-1", 2)
-	b.pass(time.Second, true)
+	b.pass(deafPause+time.Second, true)
 	s := starts(b.report("m-1", 2))
 	if len(s) != 1 || s[0].Attempt <= c.Attempt {
 		t.Fatalf("after a dropped start: %v, before %v", s, c)
@@ -261,7 +271,7 @@
 // unsent goes elsewhere.
 func TestSickMachine(t *testing.T) {
 	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1), job("j-2", 1)}})
-	b.report("m-1", 0)
+	b.up("m-1")
 	b.pass(6*time.Second, true)
 	var failed []fleet.TaskReport
 	for _, c := range starts(b.report("m-1", 2)) {
@@ -276,7 +286,7 @@
 	if s := starts(b.report("m-1", 2)); len(s) != 0 {
 		t.Fatalf("a sick machine got starts: %v", s)
 	}
-	b.report("m-2", 0)
+	b.up("m-2")
 	b.pass(5*time.Second, true)
 	if s := starts(b.report("m-2", 2)); len(s) != 3 {
 		t.Fatalf("the jobs don't go on elsewhere: %v", s)
@@ -292,8 +302,8 @@
 	if b.e.HasLive() {
 		t.Fatal("machines are believed up that nobody has heard of")
 	}
-	b.report("m-1", 0)
-	b.report("m-2", 0)
+	b.up("m-1")
+	b.up("m-2")
 	b.pass(6*time.Second, true)
 	one, two := starts(b.report("m-1", 2)), starts(b.report("m-2", 2))
 	if len(one) != 1 || len(two) != 1 || one[0].Attempt != two[0].Attempt {
@@ -305,8 +315,8 @@
 	if v, ok := b.e.Lookup("j-1"); !ok || v.Phase != pipeline.Done {
 		t.Fatalf("view %v, %v", v, ok)
 	}
-	if c, _ := b.e.usage("t"); c != 8 {
-		t.Fatalf("%g CPUs counted while one task is still there", c)
+	if u := b.e.teamUse["t"]; u.CPUs != 8 {
+		t.Fatalf("%g CPUs counted while one task is still there", u.CPUs)
 	}
 }
 
--- a/internal/core/writes.go
+++ b/internal/core/writes.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -13,75 +14,181 @@
 
 // Kinds of writes.
 const (
-	WriteMachine WriteKind = iota // a machine's record
-	DropMachine                   // the record of a machine that is gone
-	WriteJob                      // a job's record
-	WriteChunk                    // further done ranges of a job
-	WriteFinal                    // a job's final entry, in place of its record
-	DropChunk                     // done ranges of a job that is over
+	WritePage  WriteKind = iota // a page of the start log
+	DropPage                    // a page on which nothing is left
+	WriteJob                    // a job's record
+	WriteChunk                  // further done ranges of a job
+	WriteFinal                  // a job's final entry, in place of its record
+	DropChunk                   // done ranges of a job that is over
 )
 
 // Write is one change to the store. Its condition is Version (0: the key
 // doesn't exist); chunks are covered by the version of their job's record.
 type Write struct {
 	Kind    WriteKind
-	Name    string // job or machine
+	Name    string // job or page
 	Chunk   int
 	Version uint64
-	Machine fleet.Record
+	Page    fleet.Record
 	Job     pipeline.Record
 	Final   pipeline.Final
 	Runs    []int
 }
 
-// Batch asks for the most pressing writes, at most `most` puts and drops.
+// chunkRef names the key of further done ranges.
+type chunkRef struct {
+	ref   string
+	chunk int
+}
+
+// writeQueue is what the store doesn't hold yet.
+type writeQueue struct {
+	pages   map[string]*fleet.Page
+	fresh   []*fleet.Attempt // decided, but on no page yet
+	open    *fleet.Page      // the page that takes new attempts
+	dirty   map[*fleet.Page]bool
+	jobs    map[*pipeline.Job]bool // may have something to be written
+	lastJob map[string]time.Time   // when a job's record was last written
+	cleanup []chunkRef             // done ranges of jobs that are over
+	tidied  time.Time
+}
+
+func (q *writeQueue) init() {
+	q.pages, q.dirty = map[string]*fleet.Page{}, map[*fleet.Page]bool{}
+	q.jobs, q.lastJob = map[*pipeline.Job]bool{}, map[string]time.Time{}
+}
+
+func (q *writeQueue) addPage(p *fleet.Page) { q.pages[p.Name] = p }
+
+func (q *writeQueue) pageChanged(p *fleet.Page) {
+	if p.Dirty {
+		q.dirty[p] = true
+	} else {
+		delete(q.dirty, p)
+	}
+}
+
+func (q *writeQueue) jobChanged(j *pipeline.Job) { q.jobs[j] = true }
+
+// jobOver notes that the store holds a job's final entry.
+func (q *writeQueue) jobOver(j *pipeline.Job) {
+	delete(q.jobs, j)
+	delete(q.lastJob, j.Ref)
+	for c := 1; c*pipeline.ChunkTasks < len(j.Tasks); c++ {
+		q.cleanup = append(q.cleanup, chunkRef{j.Ref, c})
+	}
+}
+
+// Pressing tells whether a start or a job's end waits for a write.
+func (e *Engine) Pressing() bool {
+	return len(e.writes.fresh) > 0 || len(e.writes.dirty) > 0 || len(e.writes.jobs) > 0
+}
+
+// Batch asks for the most pressing writes, at most `most` puts and drops:
+// starts first, then jobs' ends, partial progress, and last what only tidies.
 func (e *Engine) Batch(now time.Time, most int) []Write {
-	var out []Write
-	out = e.intents(out, most)
+	out := e.pageWrites(nil, most)
 	out = e.jobWrites(now, out, most)
-	if len(out) < most {
+	if len(out) == 0 {
 		out = e.tidy(now, out, most)
 	}
 	return out
 }
 
-// intents are the records that starts wait for.
-func (e *Engine) intents(out []Write, most int) []Write {
-	for _, m := range e.sortedMachines() {
-		if len(out) >= most {
-			break
+// pageWrites puts new attempts on pages, and writes the pages that need it.
+func (e *Engine) pageWrites(out []Write, most int) []Write {
+	q := &e.writes
+	for i, a := range q.fresh {
+		if a.State() != fleet.Intended {
+			continue // withdrawn meanwhile
 		}
-		if m.RecordDirty {
-			out = append(out, Write{Kind: WriteMachine, Name: m.Name, Version: m.Version, Machine: m.StoreRecord()})
+		if q.open == nil || q.open.Sending || !q.open.Fits(1, e.cfg.MaxPerValue) {
+			if len(q.dirty) >= most {
+				q.fresh = append(q.fresh[:0], q.fresh[i:]...)
+				return e.dirtyPages(out, most)
+			}
+			q.open = e.roomyPage()
 		}
+		q.open.Add(a, false)
+		q.pageChanged(q.open)
+	}
+	q.fresh = q.fresh[:0]
+	return e.dirtyPages(out, most)
+}
+
+// roomyPage is the page with the least on it that still has room for some, or
+// a new one. Writing it again drops what is gone from it.
+func (e *Engine) roomyPage() *fleet.Page {
+	q := &e.writes
+	var best *fleet.Page
+	for _, p := range q.pages {
+		if !p.Sending && p.Fits(max(p.Live(), 8), e.cfg.MaxPerValue) &&
+			(best == nil || p.Live() < best.Live() || p.Live() == best.Live() && p.Name < best.Name) {
+			best = p
+		}
+	}
+	if best == nil {
+		e.counter++
+		best = fleet.NewPage(fmt.Sprintf("%d-%d", e.term, e.counter), 0)
+		q.addPage(best)
+	}
+	return best
+}
+
+func (e *Engine) dirtyPages(out []Write, most int) []Write {
+	for _, p := range sortedPages(e.writes.dirty) {
+		if len(out) < most && !p.Sending {
+			out = append(out, Write{Kind: WritePage, Name: p.Name, Version: p.Version, Page: p.Record()})
+		}
+	}
+	return out
+}
+
+func sortedPages(set map[*fleet.Page]bool) []*fleet.Page {
+	if len(set) == 0 {
+		return nil
 	}
+	out := make([]*fleet.Page, 0, len(set))
+	for p := range set {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
 	return out
 }
 
-// jobWrites are finished jobs at once, and progress every so often.
+// jobWrites are finished jobs at once, and progress every so often, that which
+// has waited longest first.
 func (e *Engine) jobWrites(now time.Time, out []Write, most int) []Write {
-	for _, j := range e.order {
-		if e.over(j) {
-			if len(out)+2 > most {
-				break
+	var progress []*pipeline.Job
+	ops := len(out)
+	for _, j := range sortedJobs(e.writes.jobs) {
+		switch {
+		case e.over(j):
+			if ops+2 <= most { // a put and a drop
+				ops += 2
+				out = append(out, Write{Kind: WriteFinal, Name: j.Ref, Version: j.Version, Final: j.FinalEntry()})
 			}
-			out = append(out, Write{Kind: WriteFinal, Name: j.Ref, Version: j.Version, Final: j.FinalEntry()})
-			most-- // it is a put and a drop
+		case j.Phase() != pipeline.Active || !j.Dirty():
+			delete(e.writes.jobs, j)
+		case now.Sub(e.writes.lastJob[j.Ref]) >= e.cfg.BatchEvery:
+			progress = append(progress, j)
 		}
 	}
-	for _, j := range e.order {
-		if j.Phase() != pipeline.Active || !j.Dirty() || now.Sub(e.lastJob[j.Ref]) < e.cfg.BatchEvery {
-			continue
-		}
-		chunks := j.DirtyChunks()
-		sort.Ints(chunks)
-		if len(out)+2 > most {
+	sort.SliceStable(progress, func(i, k int) bool {
+		return e.writes.lastJob[progress[i].Ref].Before(e.writes.lastJob[progress[k].Ref])
+	})
+	for _, j := range progress {
+		if ops+2 > most {
 			break
 		}
 		out = append(out, Write{Kind: WriteJob, Name: j.Ref, Version: j.Version, Job: j.Record()})
+		ops++
+		chunks := j.DirtyChunks()
+		sort.Ints(chunks)
 		for _, c := range chunks {
-			if c > 0 && len(out) < most {
+			if c > 0 && ops < most {
 				out = append(out, Write{Kind: WriteChunk, Name: j.Ref, Chunk: c, Runs: j.Chunk(c)})
+				ops++
 			}
 		}
 	}
@@ -96,41 +203,46 @@
 		return true
 	case pipeline.Cancelled:
 		u := e.use[j.Ref]
-		return u == nil || u.attempts == 0
+		return u == nil || len(u.attempts) == 0
 	}
 	return false
 }
 
-// tidy drops what nobody needs any more.
+// tidyEvery is how often pages are trimmed of attempts that are gone. An
+// untrimmed entry costs a later leader the wait for that machine's word.
+const tidyEvery = 10 * time.Second
+
+// tidy drops what nobody needs any more, when nothing else is to be written.
 func (e *Engine) tidy(now time.Time, out []Write, most int) []Write {
-	names := make([]string, 0, len(e.orphans))
-	for name := range e.orphans {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	q := &e.writes
+	for _, c := range q.cleanup {
 		if len(out) < most {
-			out = append(out, Write{Kind: DropMachine, Name: name, Version: e.orphans[name]})
+			out = append(out, Write{Kind: DropChunk, Name: c.ref, Chunk: c.chunk})
 		}
 	}
-	for _, m := range e.sortedMachines() {
-		if len(out) < most && !m.RecordDirty && m.Stale() && now.Sub(m.TidiedAt) > tidyEvery {
-			m.TidiedAt = now
-			out = append(out, Write{Kind: WriteMachine, Name: m.Name, Version: m.Version, Machine: m.StoreRecord()})
-		}
+	if now.Sub(q.tidied) < tidyEvery/10 {
+		return out
 	}
-	for _, c := range e.cleanup {
-		if len(out) < most {
-			out = append(out, Write{Kind: DropChunk, Name: c.ref, Chunk: c.chunk})
+	q.tidied = now
+	var worst *fleet.Page
+	for _, p := range q.pages {
+		if p.Sending || p == q.open || p.Stale() == 0 || now.Sub(p.Trimmed) < tidyEvery {
+			continue
+		}
+		if worst == nil || p.Stale() > worst.Stale() || p.Stale() == worst.Stale() && p.Name < worst.Name {
+			worst = p
 		}
 	}
-	return out
+	if worst == nil || len(out) >= most {
+		return out
+	}
+	worst.Trimmed = now
+	if worst.Live() > 0 || worst.Version == 0 {
+		return append(out, Write{Kind: WritePage, Name: worst.Name, Version: worst.Version, Page: worst.Record()})
+	}
+	return append(out, Write{Kind: DropPage, Name: worst.Name, Version: worst.Version})
 }
 
-// tidyEvery is how often a machine's record is trimmed of attempts that are
-// gone. An untrimmed record costs a later leader half a second at that machine.
-const tidyEvery = 10 * time.Second
-
 // Sending notes that a batch is on its way: its content counts as clean unless
 // it changes again or the batch fails.
 type Sending struct{ Batch []Write }
@@ -138,14 +250,15 @@
 func (s Sending) apply(e *Engine, now time.Time) {
 	for _, w := range s.Batch {
 		switch w.Kind {
-		case WriteMachine:
-			if m := e.machines[w.Name]; m != nil {
-				m.RecordDirty = false
+		case WritePage, DropPage:
+			if p := e.writes.pages[w.Name]; p != nil {
+				p.Sent()
+				e.writes.pageChanged(p)
 			}
 		case WriteJob:
 			if j := e.jobs[w.Name]; j != nil {
 				j.Clean(0)
-				e.lastJob[j.Ref] = now
+				e.writes.lastJob[j.Ref] = now
 			}
 		case WriteChunk:
 			if j := e.jobs[w.Name]; j != nil {
@@ -157,7 +270,7 @@
 
 // Written brings a batch's outcome. Version is that of all its keys if OK.
 // Otherwise nothing is known to have changed, and Seen holds the versions of
-// the keys of machines that were read afterwards.
+// the pages that were read afterwards.
 type Written struct {
 	Batch   []Write
 	OK      bool
@@ -177,14 +290,17 @@
 
 func (e *Engine) written(now time.Time, op Write, version uint64) {
 	switch op.Kind {
-	case WriteMachine:
-		if m := e.machines[op.Name]; m != nil {
-			m.RecordWritten(now, op.Machine, version)
-		} else {
-			e.orphans[op.Name] = version
+	case WritePage:
+		if p := e.writes.pages[op.Name]; p != nil {
+			p.Stored(now, op.Page, version)
+			e.writes.pageChanged(p)
+		}
+	case DropPage:
+		p := e.writes.pages[op.Name]
+		p.Stored(now, fleet.Record{}, 0)
+		if p.Live() == 0 && p != e.writes.open {
+			delete(e.writes.pages, op.Name)
 		}
-	case DropMachine:
-		delete(e.orphans, op.Name)
 	case WriteJob:
 		if j := e.jobs[op.Name]; j != nil {
 			j.Version = version
@@ -197,9 +313,9 @@
 	case WriteFinal:
 		e.finished(op.Name, op.Final)
 	case DropChunk:
-		for i, c := range e.cleanup {
+		for i, c := range e.writes.cleanup {
 			if c.ref == op.Name && c.chunk == op.Chunk {
-				e.cleanup = append(e.cleanup[:i], e.cleanup[i+1:]...)
+				e.writes.cleanup = append(e.writes.cleanup[:i], e.writes.cleanup[i+1:]...)
 				break
 			}
 		}
@@ -208,51 +324,36 @@
 
 // settleResults lets workers forget results that the store now holds.
 func (e *Engine) settleResults(j *pipeline.Job) {
-	pending := map[int]bool{}
-	if j.Written() == pipeline.Active {
-		for _, c := range j.DirtyChunks() {
-			pending[c] = true
-		}
+	u := e.use[j.Ref]
+	if u == nil {
+		return
 	}
-	for _, m := range e.machines {
-		for _, a := range m.Tasks {
-			if a.Ref == j.Ref && a.State() == fleet.Exited && a.Cause == fleet.CauseDone && !pending[a.Task/pipeline.ChunkTasks] {
-				a.Handled = true
-			}
+	for a := range u.results {
+		if j.Written() != pipeline.Active || !j.DirtyChunk(a.Task/pipeline.ChunkTasks) {
+			a.Handled = true
+			delete(u.results, a)
 		}
 	}
+	e.dropUse(j.Ref)
 }
 
 func (e *Engine) unwritten(op Write, seen map[string]uint64) {
 	switch op.Kind {
-	case WriteMachine:
-		if m := e.machines[op.Name]; m != nil {
-			m.RecordDirty = true
-			if v, ok := seen[op.Name]; ok {
-				m.Version = v
-			}
-		} else if v, ok := seen[op.Name]; ok && v != 0 {
-			e.orphans[op.Name] = v
-		}
-	case DropMachine:
-		if v, ok := seen[op.Name]; ok {
-			if e.orphans[op.Name] = v; v == 0 {
-				delete(e.orphans, op.Name)
-			}
+	case WritePage, DropPage:
+		if p := e.writes.pages[op.Name]; p != nil {
+			v, known := seen[op.Name]
+			p.Failed(v, known)
+			e.writes.pageChanged(p)
 		}
 	case WriteJob:
 		if j := e.jobs[op.Name]; j != nil {
 			j.Touch(0)
+			e.writes.jobChanged(j)
 		}
 	case WriteChunk:
 		if j := e.jobs[op.Name]; j != nil {
 			j.Touch(op.Chunk)
+			e.writes.jobChanged(j)
 		}
 	}
 }
-
-// chunkRef names the key of further done ranges.
-type chunkRef struct {
-	ref   string
-	chunk int
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,8 @@
 	cfg     *config.Settings
 	core    core.Config
 	store   *statestore.Client
-	jobs    *jobstore.Jobs
+	jobs    *jobstore.Jobs // for users' calls
+	records *jobstore.Jobs // the same store for the leader's own writes
 	cloud   *cloud.Client
 	peers   *peer.Client
 	lead    *leadership.Lead
@@ -44,19 +45,30 @@
 	started time.Time
 }
 
-// Parts of the outside services' rates that one node may use: the leader needs
-// most of what there is, and a takeover's overlap is short.
+// Parts of the outside services' rates: the leader's writes may use leadPart of
+// them, users' calls at all nodes together userPart. What is left is for what
+// has to get through at once, such as lease renewals.
 const (
-	requestPart = 0.45
-	writePart   = 0.45
-	cloudPart   = 0.85 // only the leader uses the cloud, but for the machine types
+	leadPart  = 0.55
+	userPart  = 0.35
+	cloudPart = 0.85 // only the leader uses the cloud, but for the machine types
 )
 
+// leastWrites is how many writes a second a node's users have at the least.
+const leastWrites = 1.5
+
 // leaseTTL is how long a leader's right lasts without renewal. Shorter ones
 // give false changes when a node falls behind, longer ones leave the workers
 // without an owner after a crash.
 const leaseTTL = 3 * time.Second
 
+// batchMost is how many changes the leader writes at once: a transaction's
+// limit, and no more than its part of a second's writes.
+func (d *Daemon) batchMost() int {
+	p := &d.cfg.Params.State
+	return min(p.TxnOps, max(4, int(p.WriteRPS*leadPart)))
+}
+
 // New makes a controller.
 func New(cfg *config.Settings) (*Daemon, error) {
 	p := &cfg.Params
@@ -66,14 +78,17 @@
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
 		CancelWithin: p.Workers.Cancel.Duration(), ListLag: p.Cloud.ListLag.Duration(),
 		RestartLimit: 3, BatchEvery: 2 * time.Second, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
+		Debug: slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	}
 	for _, t := range p.Teams {
 		d.core.Teams[t.Name] = placement.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
 	}
 	conns := max(8, min(64, p.Resources.MaxSockets/20))
+	nodes := float64(len(cfg.Peers) + 1)
 	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
-		Requests: p.State.RPS * requestPart, Writes: p.State.WriteRPS * writePart})
+		Requests: p.State.RPS * userPart * 2 / nodes, Writes: max(leastWrites, p.State.WriteRPS*userPart/nodes)})
 	d.jobs = jobstore.New(d.store)
+	d.records = jobstore.New(d.store.Part(p.State.RPS*leadPart, p.State.WriteRPS*leadPart))
 	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*cloudPart)
 	d.orders = newOrderSender()
 	addrs := map[string]string{}
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -65,10 +65,10 @@
 
 func (r *reign) run() error {
 	for {
-		snap, ledger, err := r.d.jobs.Snapshot(r.ctx)
+		snap, ledger, err := r.d.records.Snapshot(r.ctx)
 		if err == nil {
 			r.ledger = ledger
-			slog.Info("takeover", "term", r.term.N, "jobs", len(snap.Jobs), "machines", len(snap.Machines))
+			slog.Info("takeover", "term", r.term.N, "jobs", len(snap.Jobs), "pages", len(snap.Pages))
 			// All earlier rights ended before the claim, so before now.
 			r.eng = core.New(time.Now(), r.d.core, r.term.N, snap, newRand())
 			break
@@ -108,7 +108,11 @@
 func (r *reign) step(ev core.Event) core.Effects {
 	r.mu.Lock()
 	eff := r.eng.Step(time.Now(), ev)
+	pressing := r.eng.Pressing()
 	r.mu.Unlock()
+	if pressing {
+		r.kick()
+	}
 	for _, n := range eff.Notes {
 		if n.Debug {
 			slog.Debug(n.Text, n.Args...)
@@ -130,7 +134,6 @@
 	for _, names := range eff.Release {
 		go r.release(names)
 	}
-	r.kick()
 	return eff
 }
 
@@ -151,7 +154,7 @@
 const tickEvery = 200 * time.Millisecond
 
 // roundTime is the time budget of one round of decisions.
-const roundTime = 20 * time.Millisecond
+const roundTime = 60 * time.Millisecond
 
 func (r *reign) tickLoop() error {
 	deafAfter := 3 * r.d.core.ReportEvery
@@ -181,8 +184,9 @@
 }
 
 // holdReply is how long the answer to a report that freed room is held, for the
-// store to take what is now placed there. Workers wait 4 s for an answer.
-const holdReply = 120 * time.Millisecond
+// next round to place something there and the store to take that. Workers wait
+// 4 s for an answer.
+const holdReply = 400 * time.Millisecond
 
 // writeLoop writes what the engine has to write, one transaction at a time.
 func (r *reign) writeLoop() error {
@@ -218,14 +222,14 @@
 func (r *reign) writeOnce() (bool, error) {
 	r.mu.Lock()
 	now := time.Now()
-	batch := r.eng.Batch(now, r.d.cfg.Params.State.TxnOps)
+	batch := r.eng.Batch(now, r.d.batchMost())
 	if len(batch) == 0 {
 		r.mu.Unlock()
 		return false, nil
 	}
 	r.eng.Step(now, core.Sending{Batch: batch})
 	r.mu.Unlock()
-	sent, rev, err := r.d.jobs.Apply(r.ctx, r.term, batch)
+	sent, rev, err := r.d.records.Apply(r.ctx, r.term, batch)
 	if rest := batch[len(sent):]; len(rest) > 0 {
 		r.step(core.Written{Batch: rest})
 	}
@@ -242,8 +246,8 @@
 	seen := map[string]uint64{}
 	for _, w := range batch {
 		switch w.Kind {
-		case core.WriteMachine, core.DropMachine:
-			if v, err := r.d.jobs.MachineVersion(r.ctx, w.Name); err == nil {
+		case core.WritePage, core.DropPage:
+			if v, err := r.d.records.PageVersion(r.ctx, w.Name); err == nil {
 				seen[w.Name] = v
 			}
 		case core.WriteJob, core.WriteFinal:
@@ -255,7 +259,7 @@
 
 // refresh brings the engine what the store holds of a job.
 func (r *reign) refresh(ref string) {
-	st, err := r.d.jobs.Load(r.ctx, ref)
+	st, err := r.d.records.Load(r.ctx, ref)
 	if err != nil || !st.Found {
 		return
 	}
@@ -272,7 +276,7 @@
 	for r.ctx.Err() == nil {
 		news, err := r.d.store.Follow(r.ctx, jobstore.JobPrefix, since)
 		if errors.Is(err, statestore.ErrCompacted) {
-			snap, ledger, err := r.d.jobs.Snapshot(r.ctx)
+			snap, ledger, err := r.d.records.Snapshot(r.ctx)
 			if err != nil {
 				sleep(r.ctx, 200*time.Millisecond)
 				continue
@@ -312,7 +316,6 @@
 	r.hear()
 	eff := r.step(core.ReportIn{Report: rep})
 	if eff.Reply != nil && eff.Reply.Hold {
-		r.decide()
 		sleep(r.ctx, holdReply)
 		if !r.entitled() {
 			return core.Reply{}, false
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -15,17 +15,20 @@
 	"time"
 
 	"gingertally/internal/core"
+	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/leadership"
 	"gingertally/internal/statestore"
 	"gingertally/internal/wire"
 )
 
-// Prefixes of keys: unfinished jobs, final entries, further done ranges, machines.
+// Prefixes of keys: unfinished jobs, final entries, further done ranges, pages of
+// the start log, and the records by machine that earlier versions kept instead.
 const (
 	JobPrefix     = "j/"
 	finalPrefix   = "f/"
 	chunkPrefix   = "d/"
+	pagePrefix    = "s/"
 	machinePrefix = "m/"
 )
 
@@ -210,6 +213,10 @@
 	if err != nil {
 		return snap, 0, err
 	}
+	pages, _, err := j.store.List(ctx, pagePrefix)
+	if err != nil {
+		return snap, 0, err
+	}
 	machines, _, err := j.store.List(ctx, machinePrefix)
 	if err != nil {
 		return snap, 0, err
@@ -235,16 +242,46 @@
 		s.Chunks = byJob[s.Record.Spec.Ref]
 		snap.Jobs = append(snap.Jobs, s)
 	}
-	for _, it := range machines {
-		m := core.StoredMachine{Name: strings.TrimPrefix(it.Path, machinePrefix), Version: it.Stamp}
-		if err := wire.Unmarshal(it.V, &m.Record); err != nil {
+	for _, it := range pages {
+		p := core.StoredPage{Name: strings.TrimPrefix(it.Path, pagePrefix), Version: it.Stamp}
+		if err := wire.Unmarshal(it.V, &p.Record); err != nil {
 			return snap, 0, fmt.Errorf("%s: %w", it.Path, err)
 		}
-		snap.Machines = append(snap.Machines, m)
+		snap.Pages = append(snap.Pages, p)
+	}
+	for _, it := range machines {
+		p, err := oldRecord(it)
+		if err != nil {
+			return snap, 0, err
+		}
+		snap.Pages = append(snap.Pages, p)
 	}
 	return snap, ledger, nil
 }
 
+// oldRecord reads the record of one machine, which earlier versions kept in
+// place of the start log, as a page. Its name is its key.
+func oldRecord(it statestore.Item) (core.StoredPage, error) {
+	var r struct {
+		Type    string        `cbor:"ty"`
+		Zone    string        `cbor:"zo"`
+		Spot    bool          `cbor:"so"`
+		Entries []fleet.Entry `cbor:"e"`
+	}
+	if err := wire.Unmarshal(it.V, &r); err != nil {
+		return core.StoredPage{}, fmt.Errorf("%s: %w", it.Path, err)
+	}
+	return core.StoredPage{Name: it.Path, Version: it.Stamp, Record: fleet.Record{Placed: []fleet.Placed{
+		{Machine: strings.TrimPrefix(it.Path, machinePrefix), Type: r.Type, Zone: r.Zone, Spot: r.Spot, Entries: r.Entries}}}}, nil
+}
+
+func pageKey(name string) string {
+	if strings.HasPrefix(name, machinePrefix) {
+		return name
+	}
+	return pagePrefix + name
+}
+
 // maxTxnBytes keeps a transaction below the state service's limit (PROTOCOL:
 // 64 KiB in its JSON form, which is somewhat larger than CBOR).
 const maxTxnBytes = 40 << 10
@@ -286,10 +323,10 @@
 		return []wire.Condition{{Path: key, Stamp: version}}, []wire.Change{{Put: key, V: b}}, err
 	}
 	switch w.Kind {
-	case core.WriteMachine:
-		return put(machinePrefix+w.Name, w.Machine, w.Version)
-	case core.DropMachine:
-		key := machinePrefix + w.Name
+	case core.WritePage:
+		return put(pageKey(w.Name), w.Page, w.Version)
+	case core.DropPage:
+		key := pageKey(w.Name)
 		return []wire.Condition{{Path: key, Stamp: w.Version}}, []wire.Change{{Drop: key}}, nil
 	case core.WriteJob:
 		return put(JobPrefix+w.Name, w.Job, w.Version)
@@ -308,8 +345,8 @@
 
 func chunkKey(w core.Write) string { return fmt.Sprintf("%s%s/%05d", chunkPrefix, w.Name, w.Chunk) }
 
-// MachineVersion reads the version of a machine's record; 0 if there is none.
-func (j *Jobs) MachineVersion(ctx context.Context, name string) (uint64, error) {
-	it, _, err := j.store.Get(ctx, machinePrefix+name)
+// PageVersion reads the version of a page of the start log; 0 if there is none.
+func (j *Jobs) PageVersion(ctx context.Context, name string) (uint64, error) {
+	it, _, err := j.store.Get(ctx, pageKey(name))
 	return it.Stamp, err
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -266,8 +266,8 @@
 	seen := map[string]uint64{}
 	for _, wr := range sent {
 		switch wr.Kind {
-		case core.WriteMachine, core.DropMachine:
-			if v, err := n.w.jobstore.MachineVersion(bg, wr.Name); err == nil {
+		case core.WritePage, core.DropPage:
+			if v, err := n.w.jobstore.PageVersion(bg, wr.Name); err == nil {
 				seen[wr.Name] = v
 			}
 		case core.WriteJob, core.WriteFinal:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -152,7 +152,7 @@
 
 // coreConfig is the core's part of this world's settings.
 func (w *World) coreConfig() core.Config {
-	return core.Config{Teams: w.teams, ReportEvery: w.o.Report, Lease: w.o.Lease,
+	return core.Config{Teams: w.teams, Debug: w.Trace != nil, ReportEvery: w.o.Report, Lease: w.o.Lease,
 		CancelWithin: w.o.Cancel, ListLag: 2 * time.Second, RestartLimit: 3,
 		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 200}
 }
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -62,11 +62,20 @@
 	return &Client{
 		http:    host(callTimeout, o.MaxConns),
 		watch:   host(watchBlock+3*time.Second, 4),
-		reqs:    rate.NewLimiter(rate.Limit(o.Requests), max(1, int(o.Requests/2))),
-		changes: rate.NewLimiter(rate.Limit(o.Writes), max(1, int(o.Writes))),
+		reqs:    rate.NewLimiter(rate.Limit(o.Requests), max(4, int(o.Requests/2))),
+		changes: rate.NewLimiter(rate.Limit(o.Writes), max(4, int(o.Writes))),
 	}
 }
 
+// Part is the same client with a part of the rates of its own, so that neither
+// user of the two waits for the other.
+func (c *Client) Part(requests, writes float64) *Client {
+	p := *c
+	p.reqs = rate.NewLimiter(rate.Limit(requests), max(4, int(requests/2)))
+	p.changes = rate.NewLimiter(rate.Limit(writes), max(4, int(writes)))
+	return &p
+}
+
 const (
 	dialTimeout = time.Second
 	// callTimeout leaves room for the occasional few hundred milliseconds.
