--- a/internal/agentapi/agentapi.go
+++ b/internal/agentapi/agentapi.go
@@ -36,14 +36,16 @@
 
 // sentAway is what this node did with a machine's last reports.
 type sentAway struct {
-	at         time.Time // when it was last sent to the leader
+	leader     string    // which it was sent to
+	at         time.Time // when
 	relayUntil time.Time // its reports are passed on until then
 }
 
 const (
-	// comesBack: a worker sent to the leader that is here again so soon hasn't
-	// reached it (a try that hangs takes it 4 s, the next node another second).
-	comesBack = 12 * time.Second
+	// comesBack: a worker sent to a leader that is here again so soon, while that
+	// node still leads, hasn't reached it: it would have stayed. On its way it may
+	// have tried several nodes in vain, each for 4 s and a second.
+	comesBack = 25 * time.Second
 	// relayFor is how long its reports are then passed on before it is sent to
 	// the leader once more.
 	relayFor = time.Minute
@@ -87,7 +89,7 @@
 	if relayed || name == "" || name == s.Self {
 		return Answer{Status: 503}
 	}
-	if s.shouldRelay(rep.Machine, time.Now()) {
+	if s.shouldRelay(rep.Machine, name, time.Now()) {
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 		defer cancel()
 		status, reply, err := s.Leader.RelayReport(ctx, body)
@@ -101,7 +103,7 @@
 
 // shouldRelay notes that a machine is about to be sent away, and tells whether
 // it was of late, in vain.
-func (s *Service) shouldRelay(machine string, now time.Time) bool {
+func (s *Service) shouldRelay(machine, leader string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sent == nil || len(s.sent) > maxSent {
@@ -111,10 +113,10 @@
 	if now.Before(w.relayUntil) {
 		return true
 	}
-	if !w.at.IsZero() && now.Sub(w.at) < comesBack {
+	if w.leader == leader && now.Sub(w.at) < comesBack {
 		s.sent[machine] = sentAway{relayUntil: now.Add(relayFor)}
 		return true
 	}
-	s.sent[machine] = sentAway{at: now}
+	s.sent[machine] = sentAway{leader: leader, at: now}
 	return false
 }
--- a/internal/agentapi/agentapi_test.go
+++ b/internal/agentapi/agentapi_test.go
@@ -97,4 +97,9 @@
 	if a := s.Beat(ctx, beat("m-2"), true); a.Status != 503 || l.relayed != 4 {
 		t.Fatalf("relayed twice: %d", a.Status)
 	}
+	// With a new leader it has to be sent there first.
+	l.name, l.broken = "n-2", false
+	if a := s.Beat(ctx, beat("m-2"), false); a.Status != 421 {
+		t.Fatalf("after a change of leader: %d", a.Status)
+	}
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -199,8 +199,13 @@
 	return true
 }
 
-// Newer tells whether a report is newer than all seen of this machine.
+// Newer tells whether a report is newer than all seen of this machine. A worker's
+// token, session and sequence only rise, until it starts anew and counts from
+// one: only the token then tells its reports from late copies of former ones.
 func (m *Machine) Newer(r *Report) bool {
+	if r.Token != m.Token {
+		return r.Token > m.Token
+	}
 	return r.Session > m.Session || (r.Session == m.Session && r.Seq > m.Seq)
 }
 
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -68,7 +68,10 @@
 
 // hear takes in a report that is newer than all before it.
 func (e *Engine) hear(now time.Time, m *fleet.Machine, r *fleet.Report) {
-	newSession := r.Session > m.Session
+	// A higher token under a lower count: the worker has started anew, and what was
+	// known of it are late copies of its former reports.
+	anew := r.Token > m.Token && (r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq)
+	newSession := r.Session > m.Session || anew
 	was, quiet := m.State(), now.Sub(m.LastHeard)
 	if was == fleet.Booting {
 		m.IdleSince = now
@@ -88,10 +91,9 @@
 		// earlier terms had started. Whatever is there now is in the list below;
 		// of earlier terms' late starts only a confirmed report can speak.
 		for _, a := range sortedAttempts(m) {
-			if a.Inherit && !m.Confirmed {
-				continue
+			if !lists(r, a) && (!a.Inherit || m.Confirmed) {
+				e.lost(now, m, a, "session over")
 			}
-			e.lost(now, m, a, "session over")
 		}
 	}
 	for i := range r.Tasks {
@@ -237,7 +239,8 @@
 	}
 }
 
-// adopt takes in a reported attempt that nothing here speaks of.
+// adopt takes in a reported attempt that nothing here speaks of: an exit that an
+// earlier leader hadn't dealt with, or what should have been gone and is stopped.
 func (e *Engine) adopt(now time.Time, m *fleet.Machine, t fleet.TaskReport) *fleet.Attempt {
 	a := &fleet.Attempt{Key: fleet.Key{Ref: t.Ref, Task: t.Task}, Number: t.Attempt}
 	j := e.jobs[t.Ref]
@@ -250,11 +253,7 @@
 	}
 	e.attach(now, m, a, st)
 	a.RunStart = time.Time{}
-	wanted := j != nil && t.Task < len(j.Tasks) && j.Phase() == pipeline.Active &&
-		j.Tasks[t.Task].State() == pipeline.Waiting && !gangHasOther(j, t.Attempt)
-	if wanted && t.State != fleet.Exited {
-		j.Assign(t.Task, m.Name, t.Attempt)
-	} else if t.State != fleet.Exited {
+	if t.State != fleet.Exited {
 		a.Foreign = true
 		e.note("unexpected task", "job", t.Ref, "task", t.Task, "machine", m.Name, "attempt", t.Attempt)
 		e.stop(now, m, a, 0)
@@ -262,18 +261,6 @@
 	return a
 }
 
-func gangHasOther(j *pipeline.Job, attempt uint64) bool {
-	if j.Shape != pipeline.Gang {
-		return false
-	}
-	for i := range j.Tasks {
-		if j.Tasks[i].State() == pipeline.Assigned && j.Tasks[i].Attempt != attempt {
-			return true
-		}
-	}
-	return false
-}
-
 // commands is what the worker is told in answer to the report just heard: first
 // what it may forget, then stops, then starts.
 func (e *Engine) commands(now time.Time, m *fleet.Machine) []fleet.Command {
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -340,3 +340,103 @@
 	}
 	t.Fatal("kept for a minute with nothing to do")
 }
+
+// worker sends reports with counts of its own choice.
+func (b *bench) worker(machine string, token, session, seq uint64, tasks ...fleet.TaskReport) Reply {
+	r := fleet.Report{Machine: machine, Addr: machine, Type: "big", Zone: "a", Session: session, Seq: seq, Token: token, Notice: -1, Tasks: tasks}
+	return *b.e.Step(b.now, ReportIn{r}).Reply
+}
+
+// A new leader may hear a late copy from before a machine's worker started anew,
+// with a higher count than the worker has now. It once believed the copy that an
+// attempt was gone, and the task ran twice; nor may the worker be ignored.
+func TestCopyFromFormerLife(t *testing.T) {
+	b := newBench(t, 3, inherited())
+	here := running(fleet.Command{Ref: "j-1", Attempt: 1 << attemptBits})
+	b.worker("m-1", 2, 1, 4, here)
+	b.worker("m-1", 3, 1, 5, here)
+	if r := b.worker("m-1", 1, 1, 900); r.OK || b.e.jobs["j-1"].Tasks[0].Attempt != 1<<attemptBits {
+		t.Fatalf("a copy with an older token is believed: %+v", r)
+	}
+	b = newBench(t, 3, inherited())
+	b.worker("m-1", 1, 2, 900)
+	if r := b.worker("m-1", 2, 1, 4, here); !r.OK || b.e.machines["m-1"].Seq != 4 {
+		t.Fatalf("the worker is ignored for a copy's sake: %+v", r)
+	}
+}
+
+// What a late copy lists that the start log doesn't name is nowhere any more.
+func TestCopyRevivesNothing(t *testing.T) {
+	b := newBench(t, 3, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
+	b.worker("m-9", 2, 1, 7, running(fleet.Command{Ref: "j-1", Attempt: 5}))
+	if n := b.e.jobs["j-1"].Count(pipeline.Waiting); n != 1 {
+		t.Fatal("a copy of a report of long ago has the task taken for running")
+	}
+	b.pass(6*time.Second, true)
+	if b.e.machines["m-9"].Busy() > 0 {
+		t.Fatal("placed on a machine of which only an old copy speaks")
+	}
+}
+
+// A worker that starts anew within a term can't be told from copies of its old
+// reports; it isn't ignored for good but given back.
+func TestWorkerStartsAnew(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	for seq := uint64(1); seq < 30; seq++ {
+		b.worker("m-1", 0, 1, seq)
+		for range 10 {
+			b.now = b.now.Add(200 * time.Millisecond)
+			if eff := b.e.Step(b.now, Tick{}); len(eff.Release) > 0 {
+				return
+			}
+		}
+		if b.e.jobs["j-1"].Count(pipeline.Waiting) > 0 {
+			t.Fatal("taken for gone on the word of what may be copies")
+		}
+		if b.e.machines["m-1"].State() == fleet.Releasing {
+			return
+		}
+	}
+	t.Fatal("ignored for good")
+}
+
+// Starts on a machine whose reports arrive but that hears nothing come to nothing
+// again and again: it gets no more of them and is given back.
+func TestDeafMachine(t *testing.T) {
+	b, _ := started(t)
+	at := b.now
+	sent := 0
+	for b.now.Sub(at) < config().Lease {
+		b.pass(3*time.Second, true)
+		sent += len(starts(b.report("m-1", 2)))
+		if b.e.machines["m-1"].State() == fleet.Releasing {
+			if sent > 2 {
+				t.Fatalf("%d starts sent to a machine that hears nothing", sent)
+			}
+			return
+		}
+	}
+	t.Fatal("kept although it hears nothing")
+}
+
+// When all machines seem to hear nothing, it is this node that isn't heard, and
+// giving the machines back would end all work.
+func TestDeafnessOfAllIsOurs(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 40)}})
+	names := []string{"m-1", "m-2", "m-3", "m-4", "m-5"}
+	for _, m := range names {
+		b.up(m)
+	}
+	for range 12 {
+		b.pass(3*time.Second, true)
+		for _, m := range names {
+			b.report(m, 2)
+		}
+	}
+	for _, m := range names {
+		if s := b.e.machines[m]; s.State() == fleet.Releasing {
+			t.Fatalf("%s is given back", m)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"gingertally/internal/core"
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/core/placement"
+	"gingertally/internal/health"
 	"gingertally/internal/jobstore"
 	"gingertally/internal/leadership"
 	"gingertally/internal/peer"
@@ -42,7 +43,10 @@
 	orders  *orderSender
 	reign   atomic.Pointer[reign]
 	catalog atomic.Pointer[placement.Catalog]
-	started time.Time
+	health  *health.Tracker
+	// nobodyUntil is until when no other node is asked to serve users' calls.
+	nobodyUntil atomic.Int64
+	started     time.Time
 }
 
 // Parts of the outside services' rates: the leader's writes may use leadPart of
@@ -72,7 +76,7 @@
 // New makes a controller.
 func New(cfg *config.Settings) (*Daemon, error) {
 	p := &cfg.Params
-	d := &Daemon{cfg: cfg, started: time.Now()}
+	d := &Daemon{cfg: cfg, started: time.Now(), health: health.New(time.Now())}
 	d.core = core.Config{
 		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
@@ -86,7 +90,8 @@
 	conns := max(8, min(64, p.Resources.MaxSockets/20))
 	nodes := float64(len(cfg.Peers) + 1)
 	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
-		Requests: p.State.RPS * userPart * 2 / nodes, Writes: max(leastWrites, p.State.WriteRPS*userPart/nodes)})
+		Requests: p.State.RPS * userPart * 2 / nodes, Writes: max(leastWrites, p.State.WriteRPS*userPart/nodes),
+		Contact: d.storeAnswered})
 	d.jobs = jobstore.New(d.store)
 	d.records = jobstore.New(d.store.Part(p.State.RPS*leadPart, p.State.WriteRPS*leadPart))
 	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*cloudPart)
@@ -144,6 +149,7 @@
 	g.Go(func() error { return peer.Serve(ctx, peers, d.relayed) })
 	g.Go(func() error { return d.lead.Run(ctx) })
 	g.Go(func() error { return d.keepCatalog(ctx) })
+	g.Go(func() error { return d.keepContact(ctx) })
 	return g.Wait()
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -21,12 +21,14 @@
 	viewPath = "/view/" // between nodes only
 )
 
-// userTimeout is when a node stops trying to serve a user, who waits 5 s for a
-// submission and 2 s for a poll.
+// How long a call is worked on in all: a user waits 5 s for a submission and 2 s
+// for a poll. Of that, ownPart of it is this node's own try, or, while the state
+// service doesn't serve it, no more than ownTryInTrouble.
 const (
-	submitTimeout = 3 * time.Second
-	pollTimeout   = 1500 * time.Millisecond
-	relayTimeout  = time.Second
+	submitTimeout   = 4 * time.Second
+	pollTimeout     = 1700 * time.Millisecond
+	ownPart         = 0.5
+	ownTryInTrouble = 300 * time.Millisecond
 )
 
 func (d *Daemon) serveHTTP(ctx context.Context, ln net.Listener) error {
@@ -61,7 +63,7 @@
 func (d *Daemon) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
 	path, method := string(rc.Path()), string(rc.Method())
 	if path == "/healthz" {
-		rc.SetStatusCode(d.health())
+		rc.SetStatusCode(d.healthz())
 		return
 	}
 	body := rc.PostBody()
@@ -78,7 +80,18 @@
 		rc.SetStatusCode(404)
 		return
 	}
-	a := d.user(ctx, method, path, body)
+	limit := submitTimeout
+	if method == "GET" {
+		limit = pollTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	own := time.Duration(float64(limit) * ownPart)
+	fresh := d.health.StoreFresh(time.Now(), storeFresh)
+	if !fresh {
+		own = ownTryInTrouble
+	}
+	a := d.ownTry(ctx, own, method, path, body)
 	if a.Status == 503 {
 		if status, reply, ok := d.elsewhere(ctx, method, path, body); ok {
 			rc.SetStatusCode(status)
@@ -86,6 +99,9 @@
 			rc.SetBody(reply)
 			return
 		}
+		if !fresh {
+			rc.SetConnectionClose() // the next try may reach a node that is better off
+		}
 	}
 	rc.SetStatusCode(a.Status)
 	if a.RetryAfter {
@@ -97,11 +113,16 @@
 	}
 }
 
-// health is 200 once this node can judge submissions. It doesn't follow the
-// state service: an outage makes all nodes fail alike, and a node that alone
-// is refused passes its users' calls on.
-func (d *Daemon) health() int {
-	if len(d.types()) == 0 {
+func (d *Daemon) ownTry(ctx context.Context, limit time.Duration, method, path string, body []byte) userapi.Answer {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return d.user(ctx, method, path, body)
+}
+
+// healthz is 200 once this node can judge submissions, and while it can serve
+// users or knows a node that may.
+func (d *Daemon) healthz() int {
+	if len(d.types()) == 0 || !d.health.Serves(time.Now()) {
 		return 503
 	}
 	return 200
@@ -112,48 +133,23 @@
 	rest := strings.TrimPrefix(path, runsPath)
 	switch {
 	case method == "POST" && rest == "":
-		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-		defer cancel()
 		return d.users.Submit(ctx, body)
 	case method == "GET" && strings.HasPrefix(rest, "/"):
-		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-		defer cancel()
 		return d.users.Get(ctx, rest[1:])
 	case method == "POST" && strings.HasPrefix(rest, "/") && strings.HasSuffix(rest, "/withdraw"):
-		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-		defer cancel()
 		return d.users.Withdraw(ctx, strings.TrimSuffix(rest[1:], "/withdraw"))
 	}
 	return userapi.Answer{Status: 404}
 }
 
-// elsewhere has another node serve a call that this one can't, as when the
-// state service refuses this node alone.
-func (d *Daemon) elsewhere(ctx context.Context, method, path string, body []byte) (int, []byte, bool) {
-	leader := d.lead.Leader()
-	names := []string{}
-	for _, p := range d.cfg.Peers {
-		names = append(names, p.Member)
-		if p.Member == leader {
-			names[0], names[len(names)-1] = leader, names[0] // it can serve all calls
-		}
-	}
-	for _, name := range names {
-		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-		status, reply, err := d.peers.Relay(ctx, name, method, path, append([]byte(nil), body...))
-		cancel()
-		if err == nil && status != 503 {
-			return status, reply, true
-		}
-	}
-	return 0, nil, false
-}
-
 // relayed serves what another node passed on.
 func (d *Daemon) relayed(ctx context.Context, _, method, path string, body []byte) (int, []byte) {
-	if path == beatPath {
+	switch path {
+	case beatPath:
 		a := d.agents.Beat(ctx, body, true)
 		return a.Status, a.Body
+	case pingPath:
+		return 200, nil
 	}
 	if ref, ok := strings.CutPrefix(path, viewPath); ok {
 		v, ok := d.View(ref)
@@ -162,7 +158,7 @@
 		}
 		return 200, encodeView(v)
 	}
-	a := d.user(ctx, method, path, body)
+	a := d.ownTry(ctx, submitTimeout, method, path, body)
 	if a.Body == nil {
 		return a.Status, nil
 	}
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -339,7 +339,14 @@
 	return r.report(rep)
 }
 
-func (a agentLeader) Name() string { return a.d.lead.Leader() }
+// Name is empty on a node that reaches nobody: what it last knew would send
+// workers round in circles.
+func (a agentLeader) Name() string {
+	if !a.d.health.Serves(time.Now()) {
+		return ""
+	}
+	return a.d.lead.Leader()
+}
 
 func (a agentLeader) RelayReport(ctx context.Context, body []byte) (int, []byte, error) {
 	return a.d.peers.Relay(ctx, a.d.lead.Leader(), "POST", beatPath, append([]byte(nil), body...))
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"gingertally/internal/core"
 	"gingertally/internal/core/pipeline"
@@ -147,6 +148,21 @@
 	j.told = v.Phase
 }
 
+// rememberedWithin is how long all questions about a job may fail once all
+// troubles are over.
+const rememberedWithin = 75 * time.Second
+
+// remembered checks, at a question about a job, that some are answered.
+func (c *checker) remembered(j *userJob) {
+	from := c.w.peace
+	if j.answered.After(from) {
+		from = j.answered
+	}
+	if !c.w.peace.IsZero() && c.w.now.Sub(from) > rememberedWithin {
+		c.fail("forgotten: no question about %s was answered for %s", j.spec.Ref, c.w.now.Sub(from))
+	}
+}
+
 // atEnd checks that after the drain nothing accepted was left undone.
 func (c *checker) atEnd() error {
 	if c.started == 0 {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -9,6 +9,7 @@
 
 	"gingertally/internal/core"
 	"gingertally/internal/core/fleet"
+	"gingertally/internal/health"
 	"gingertally/internal/jobstore"
 	"gingertally/internal/leadership"
 	"gingertally/internal/statestore"
@@ -18,12 +19,14 @@
 // node is a controller: the real core and job store round a simulated shell.
 type node struct {
 	w          *World
-	name       string
+	name, zone string
+	health     *health.Tracker
 	rate       float64 // of its steady clock
 	life       int     // rises with each end of the process
 	down       bool
 	noStore    bool // cut off from the state service
 	noWorkers  bool // cut off from the workers
+	noPeers    bool // cut off from the other controllers
 	eng        *core.Engine
 	term       leadership.Term
 	lease      int // the lease that its right stands on
@@ -45,11 +48,37 @@
 func (n *node) boot() {
 	n.life++
 	n.down, n.eng, n.writing, n.until = false, nil, false, time.Time{}
+	n.health = health.New(n.local())
+	n.loop(n.life, time.Second, n.keepContact)
 	n.loop(n.life, n.w.o.LeaseTTL/4, n.lead)
 	n.loop(n.life, 200*time.Millisecond, n.tick)
 	n.loop(n.life, 2*time.Second, n.list)
 }
 
+// cutOff tells whether the state service can't be reached from here.
+func (n *node) cutOff() bool { return n.noStore || !n.w.reach("", n.zone) }
+
+// reaches tells whether another controller can be reached from here.
+func (n *node) reaches(o *node) bool {
+	return !n.down && !o.down && !n.noPeers && !o.noPeers && !n.w.peersRefuse && n.w.reach(n.zone, o.zone)
+}
+
+// keepContact notes whom this node reaches.
+func (n *node) keepContact() {
+	switch {
+	case n.cutOff():
+	case n.w.store.down:
+		n.health.StoreRefused(n.local())
+	default:
+		n.health.StoreServed(n.local())
+	}
+	for _, o := range n.w.nodes {
+		if o != n && n.reaches(o) {
+			n.health.PeerAnswered(n.local())
+		}
+	}
+}
+
 func (n *node) loop(life int, every time.Duration, fn func()) {
 	n.w.after(n.w.between(every/2, every), func() {
 		if n.life == life && !n.down {
@@ -69,7 +98,7 @@
 // the way, executed late, or its answer lost.
 func (n *node) call(at func(), answer func()) {
 	w, life := n.w, n.life
-	if n.noStore {
+	if n.cutOff() {
 		if w.chance(0.3) { // held back, and delivered when the cut is over
 			w.after(w.between(time.Second, 20*time.Second), at)
 		}
@@ -312,7 +341,7 @@
 	w.after(in, func() {
 		switch {
 		case n.eng != eng:
-		case n.noStore || w.store.down:
+		case n.cutOff() || w.store.down:
 			w.watched(n, eng, ref, time.Second)
 		default:
 			n.refresh(ref)
@@ -326,6 +355,7 @@
 	}
 	eng := n.eng
 	list, ok := n.w.cloud.list()
+	ok = ok && n.w.reach("", n.zone)
 	n.w.after(n.w.between(50*time.Millisecond, 300*time.Millisecond), func() {
 		if ok && n.eng == eng && n.entitled() {
 			n.step(core.Listed{Machines: list})
@@ -336,6 +366,14 @@
 func (n *node) rent(r core.Rent) {
 	eng := n.eng
 	n.w.after(n.w.between(50*time.Millisecond, 300*time.Millisecond), func() {
+		if !n.w.reach("", n.zone) {
+			n.w.after(4*time.Second, func() {
+				if n.eng == eng && n.eng != nil {
+					n.step(core.Rented{Rent: r, Unknown: true})
+				}
+			})
+			return
+		}
 		names, refused, ok := n.w.cloud.rent(r)
 		lost := n.w.o.Faults && !n.w.noNet && n.w.chance(0.1)
 		if n.eng == eng && n.eng != nil {
@@ -347,7 +385,7 @@
 func (n *node) release(names []string) {
 	eng := n.eng
 	delay := n.w.between(50*time.Millisecond, 300*time.Millisecond)
-	if n.w.o.Faults && !n.w.noNet && n.w.chance(0.05) {
+	if n.w.o.Faults && !n.w.noNet && (n.w.chance(0.05) || !n.w.reach("", n.zone)) {
 		// The answer is lost, and the deletion happens at some later time.
 		n.w.after(n.w.between(time.Second, 20*time.Second), func() { n.w.cloud.release(names) })
 		n.w.after(4*time.Second, func() {
@@ -378,7 +416,7 @@
 		}
 		return 200, *eff.Reply, nil
 	}
-	if relayed {
+	if relayed || !n.health.Serves(n.local()) {
 		return 503, reply, nil
 	}
 	for _, o := range n.w.nodes {
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -8,7 +8,7 @@
 )
 
 func options(seed uint64, faults bool) Options {
-	return Options{Seed: seed, Length: 150 * time.Second, Drain: 250 * time.Second, Nodes: 3, Jobs: 14, Faults: faults,
+	return Options{Seed: seed, Length: 150 * time.Second, Drain: 250 * time.Second, Nodes: 3 + 2*int(seed%3), Zones: 2 + int(seed%2), Jobs: 14, Faults: faults,
 		Report: 3 * time.Second, Lease: 20 * time.Second, Cancel: 40 * time.Second, LeaseTTL: 3 * time.Second}
 }
 
@@ -56,3 +56,20 @@
 		t.Fatal(err)
 	}
 }
+
+// TestSeeds plays as many worlds as STANDIN_SEEDS says, from seed 10000 on: a
+// longer hunt than the tests have time for.
+func TestSeeds(t *testing.T) {
+	n, err := strconv.ParseUint(os.Getenv("STANDIN_SEEDS"), 10, 64)
+	if err != nil {
+		t.Skip("STANDIN_SEEDS gives no number")
+	}
+	for seed := range n {
+		t.Run(strconv.FormatUint(10_000+seed, 10), func(t *testing.T) {
+			t.Parallel()
+			if err := NewWorld(options(10_000+seed, true)).Run(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -24,6 +24,7 @@
 	told        pipeline.Phase
 	cancelTold  time.Time
 	done        map[int]bool
+	answered    time.Time // when a question was last answered
 }
 
 // mates are the tasks of one attempt of a gang that haven't exited.
@@ -74,7 +75,7 @@
 			s.Spread = false
 		}
 		if w.chance(0.2) {
-			s.Zone, s.Spread = w.zones[w.rng.IntN(2)], false
+			s.Zone, s.Spread = w.zones[w.rng.IntN(len(w.zones))], false
 		}
 		if s.GPUs == 0 && w.chance(0.2) {
 			s.Types = []string{"small"}
@@ -99,11 +100,23 @@
 	w.after(7*time.Second, w.askUnknown)
 }
 
-func (j *userJob) anyNode() *node { return j.w.nodes[j.w.rng.IntN(len(j.w.nodes))] }
+// anyNode is the node that the load balancer chooses: a healthy one, if any is.
+func (j *userJob) anyNode() *node {
+	var up []*node
+	for _, n := range j.w.nodes {
+		if !n.down && j.w.reach("", n.zone) && n.health.Serves(n.local()) {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		up = j.w.nodes
+	}
+	return up[j.w.rng.IntN(len(up))]
+}
 
 func (j *userJob) submit() {
 	n := j.anyNode()
-	if n.down || n.noStore {
+	if n.down || n.cutOff() {
 		j.w.after(time.Second, j.submit)
 		return
 	}
@@ -129,9 +142,27 @@
 	})
 }
 
-// view is what a node tells of a job: from its engine if it may, else from the
-// store. ok is false when it can't tell.
+// view is what a node tells of a job: itself, or by asking another.
 func (n *node) view(ref string) (v core.JobView, known, ok bool) {
+	if n.down || !n.w.reach("", n.zone) {
+		return v, false, false
+	}
+	if v, known, ok = n.ownView(ref); ok {
+		return v, known, ok
+	}
+	for _, o := range n.w.nodes {
+		if o != n && n.reaches(o) {
+			if v, known, ok = o.ownView(ref); ok {
+				return v, known, ok
+			}
+		}
+	}
+	return v, false, false
+}
+
+// ownView is what a node tells by itself: from its engine if it may, else from
+// the store. ok is false when it can't tell.
+func (n *node) ownView(ref string) (v core.JobView, known, ok bool) {
 	if n.down {
 		return v, false, false
 	}
@@ -140,7 +171,7 @@
 			return v, true, true
 		}
 	}
-	if n.noStore {
+	if n.cutOff() {
 		return v, false, false
 	}
 	st, err := n.w.jobstore.Load(bg, ref)
@@ -153,7 +184,9 @@
 func (j *userJob) poll() {
 	if v, known, ok := j.anyNode().view(j.spec.Ref); ok {
 		j.w.check.told(j, v, known)
+		j.answered = j.w.now
 	}
+	j.w.check.remembered(j)
 	j.w.after(j.w.between(2*time.Second, 5*time.Second), j.poll)
 }
 
@@ -164,7 +197,7 @@
 			n = o // the leader serves cancellations
 		}
 	}
-	if n.down || n.noStore {
+	if n.down || n.cutOff() {
 		j.w.after(time.Second, j.cancel)
 		return
 	}
@@ -208,12 +241,15 @@
 		w.after(w.between(0, w.o.Length), w.trouble)
 	}
 	w.after(w.o.Length, func() {
-		w.noNet, w.store.down, w.cloud.down = true, false, false
+		w.noNet, w.store.down, w.cloud.down, w.peersRefuse = true, false, false, false
+		w.peace = w.now
+		clear(w.cutZones)
+		clear(w.apart)
 		for _, n := range w.nodes {
-			n.noStore, n.noWorkers = false, false
+			n.noStore, n.noWorkers, n.noPeers = false, false, false
 		}
 		for _, m := range w.machines {
-			m.sick = false
+			m.sick, m.deaf = false, false
 			clear(m.cut)
 		}
 	})
@@ -230,12 +266,13 @@
 func (w *World) trouble() {
 	n, m := w.nodes[w.rng.IntN(len(w.nodes))], w.anyMachine()
 	long := w.between(2*time.Second, 40*time.Second)
-	switch w.rng.IntN(11) {
+	switch w.rng.IntN(18) {
 	case 0:
-		n.crash(w.between(100*time.Millisecond, 6*time.Second))
+		n.crash(w.between(10*time.Millisecond, 6*time.Second))
 	case 1:
+		back := w.between(10*time.Millisecond, 6*time.Second)
 		for _, n := range w.nodes {
-			n.crash(w.between(100*time.Millisecond, 6*time.Second))
+			n.crash(w.between(10*time.Millisecond, back))
 		}
 	case 2:
 		n.noStore = true
@@ -260,8 +297,39 @@
 			m.cut[n] = true
 			w.after(long, func() { m.cut[n] = false })
 		}
-	case 10:
+	case 10, 11:
 		w.harm(m)
+	case 12, 13:
+		if m != nil {
+			m.deaf = true
+			w.after(2*long, func() { m.deaf = false })
+		}
+	case 14: // it keeps its workers, and nothing else
+		n.noStore, n.noPeers = true, true
+		w.after(long, func() { n.noStore, n.noPeers = false, false })
+	default:
+		w.troubleBetween(long)
+	}
+}
+
+// troubleBetween is a trouble between zones, or between controllers.
+func (w *World) troubleBetween(long time.Duration) {
+	i := w.rng.IntN(len(w.zones))
+	zone, other := w.zones[i], w.zones[(i+1)%len(w.zones)]
+	switch w.rng.IntN(4) {
+	case 0:
+		w.cutZones[zone] = true
+		w.after(long, func() { delete(w.cutZones, zone) })
+	case 1:
+		w.apart[[2]string{zone, other}] = true
+		w.after(long, func() { delete(w.apart, [2]string{zone, other}) })
+	case 2:
+		w.peersRefuse = true
+		w.after(long, func() { w.peersRefuse = false })
+	case 3: // all restarted, one after the other
+		for i, n := range w.nodes {
+			w.after(time.Duration(i)*4*time.Second, func() { n.crash(w.between(10*time.Millisecond, 3*time.Second)) })
+		}
 	}
 }
 
@@ -270,7 +338,11 @@
 	if m == nil {
 		return
 	}
-	switch w.rng.IntN(3) {
+	switch w.rng.IntN(4) {
+	case 3:
+		if m.isUp {
+			m.reboot()
+		}
 	case 0:
 		m.die()
 	case 1:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -21,6 +21,8 @@
 	isUp, dead  bool
 	hungUntil   time.Time
 	sick        bool
+	deaf        bool // its reports arrive, but nothing that it is told
+	life        int  // rises when its worker starts anew
 	noticeAt    time.Time
 	cut         map[*node]bool
 	session     uint64
@@ -161,7 +163,9 @@
 	m.later(time.Second, m.report)
 }
 
-func (m *machine) blocked(n *node) bool { return n.down || n.noWorkers || m.cut[n] }
+func (m *machine) blocked(n *node) bool {
+	return n.down || n.noWorkers || m.cut[n] || !m.w.reach(m.zone, n.zone)
+}
 
 func (m *machine) deliver(n *node, r fleet.Report, sent time.Time) {
 	w := m.w
@@ -174,12 +178,16 @@
 	} else if w.o.Faults && !w.noNet && w.chance(0.01) {
 		delay = w.between(0, 12*time.Second)
 	}
+	if w.o.Faults && !w.noNet && w.chance(0.05) {
+		w.lateCopy(r)
+	}
+	life := m.life
 	w.after(delay, func() {
 		if n.down {
 			return
 		}
 		status, reply, leader := n.report(r, false)
-		if status == 421 && w.chance(0.2) {
+		if status == 421 && n.reaches(leader) && w.chance(0.2) {
 			status, reply, leader = leader.report(r, true) // passed on by the node
 		}
 		if status == 0 {
@@ -187,21 +195,44 @@
 			leader.tick()
 			w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
 				status, reply := leader.collect(r, eng)
-				m.answer(n, r, sent, status, reply, nil)
+				m.answer(n, r, life, sent, status, reply, nil)
 			})
 			return
 		}
-		m.answer(n, r, sent, status, reply, leader)
+		m.answer(n, r, life, sent, status, reply, leader)
 	})
 }
 
 // answer sends a node's response back, if it gets through.
-func (m *machine) answer(n *node, r fleet.Report, sent time.Time, status int, reply core.Reply, leader *node) {
+func (m *machine) answer(n *node, r fleet.Report, life int, sent time.Time, status int, reply core.Reply, leader *node) {
 	w := m.w
-	if m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.01)) {
+	if m.deaf || m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.01)) {
 		return
 	}
-	m.later(w.between(time.Millisecond, 30*time.Millisecond), func() { m.response(r, sent, status, reply, leader) })
+	m.later(w.between(time.Millisecond, 30*time.Millisecond), func() {
+		if m.life == life {
+			m.response(r, sent, status, reply, leader)
+		}
+	})
+}
+
+// lateCopy has a copy of a report arrive at some node, up to well over a lease
+// later; nobody waits for its answer.
+func (w *World) lateCopy(r fleet.Report) {
+	w.after(w.between(time.Second, 3*w.o.Lease), func() {
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		if n.down {
+			return
+		}
+		status, _, leader := n.report(r, false)
+		if status == 421 {
+			status, _, leader = leader.report(r, true)
+		}
+		if status == 0 {
+			eng := leader.eng
+			w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() { leader.collect(r, eng) })
+		}
+	})
 }
 
 func (m *machine) response(r fleet.Report, sent time.Time, status int, reply core.Reply, leader *node) {
@@ -239,7 +270,10 @@
 		return
 	}
 	delay := w.between(time.Millisecond, 20*time.Millisecond)
-	if n.noWorkers || m.cut[n] || (w.o.Faults && !w.noNet && w.chance(0.05)) {
+	if m.deaf {
+		return
+	}
+	if m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.05)) {
 		delay = w.between(0, 30*time.Second)
 	}
 	m.later(delay, func() {
@@ -412,6 +446,18 @@
 	}
 }
 
+// reboot starts the worker anew: all tasks are gone, and it counts from one.
+func (m *machine) reboot() {
+	for _, t := range m.sorted() {
+		m.remove(t)
+	}
+	m.life++
+	m.session, m.seq, m.token, m.outstanding = 1, 0, 0, 0
+	m.answered, m.lastReport = m.local(), time.Time{}
+	clear(m.images)
+	m.later(m.w.between(10*time.Millisecond, time.Second), m.report)
+}
+
 // die ends the machine and all on it.
 func (m *machine) die() {
 	if m.dead {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -22,6 +22,7 @@
 	Length   time.Duration // troubles and users' calls end here
 	Drain    time.Duration // how long the world then goes on in peace
 	Nodes    int
+	Zones    int
 	Jobs     int
 	Faults   bool
 	Report   time.Duration
@@ -52,6 +53,11 @@
 	// Trace, if set, gets what the controllers log.
 	Trace func(at time.Duration, node, text string, args []any)
 	noNet bool // peace: no losses and delays any more
+	peace time.Time
+	// what the network between zones and nodes does
+	cutZones    map[string]bool    // cut off from everything
+	apart       map[[2]string]bool // two zones that can't reach each other
+	peersRefuse bool               // connections between controllers are refused
 }
 
 type event struct {
@@ -80,8 +86,8 @@
 
 // NewWorld builds a deployment in which all is well so far.
 func NewWorld(o Options) *World {
-	w := &World{o: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), start: time.Unix(1_800_000_000, 0), zones: []string{"east", "west"},
-		machines: map[string]*machine{}, jobs: map[string]*userJob{}}
+	w := &World{o: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), start: time.Unix(1_800_000_000, 0), zones: []string{"east", "west", "north"}[:o.Zones],
+		cutZones: map[string]bool{}, apart: map[[2]string]bool{}, machines: map[string]*machine{}, jobs: map[string]*userJob{}}
 	w.now = w.start
 	w.store = &Store{w: w, items: map[string]*item{}}
 	w.jobstore = jobstore.New(w.store)
@@ -93,12 +99,12 @@
 	w.check = newChecker(w)
 	w.cloud = &cloudSim{w: w, answered: map[string][]string{}}
 	for i := range o.Nodes {
-		n := &node{w: w, name: fmt.Sprintf("node-%d", i), rate: 1 + (w.rng.Float64()-0.5)*0.001}
+		n := &node{w: w, name: fmt.Sprintf("node-%d", i), zone: w.zones[i%len(w.zones)], rate: 1 + (w.rng.Float64()-0.5)*0.001}
 		w.nodes = append(w.nodes, n)
 		n.boot()
 	}
 	for range 4 {
-		w.cloud.create([]string{"small", "large"}[w.rng.IntN(2)], w.zones[w.rng.IntN(2)], false, 0)
+		w.cloud.create([]string{"small", "large"}[w.rng.IntN(2)], w.zones[w.rng.IntN(len(w.zones))], false, 0)
 	}
 	w.planUsers()
 	if o.Faults {
@@ -113,6 +119,15 @@
 	heap.Push(&w.queue, event{w.now.Add(max(d, 0)), w.seq, fn})
 }
 
+// reach tells whether packets get from one zone to another; an empty name stands
+// for what belongs to no zone, as the state service.
+func (w *World) reach(a, b string) bool {
+	if a == b {
+		return true
+	}
+	return !w.cutZones[a] && !w.cutZones[b] && !w.apart[[2]string{a, b}] && !w.apart[[2]string{b, a}]
+}
+
 func (w *World) chance(p float64) bool { return w.rng.Float64() < p }
 
 func (w *World) between(lo, hi time.Duration) time.Duration {
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -42,6 +42,7 @@
 	watch   *fasthttp.HostClient
 	reqs    *rate.Limiter
 	changes *rate.Limiter
+	contact func(served bool)
 }
 
 // Options bound what a client asks for.
@@ -49,6 +50,8 @@
 	Addr             string
 	Requests, Writes float64 // this node's part of the rates, per second
 	MaxConns         int
+	// Contact is told of each answer: whether the request was served. It may be nil.
+	Contact func(served bool)
 }
 
 // New makes a client.
@@ -59,7 +62,11 @@
 			DisablePathNormalizing: true, MaxResponseBodySize: 8 << 20,
 			Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) }}
 	}
+	if o.Contact == nil {
+		o.Contact = func(bool) {}
+	}
 	return &Client{
+		contact: o.Contact,
 		http:    host(callTimeout, o.MaxConns),
 		watch:   host(watchBlock+3*time.Second, 4),
 		reqs:    rate.NewLimiter(rate.Limit(o.Requests), max(4, int(o.Requests/2))),
@@ -101,7 +108,9 @@
 	if err := h.DoDeadline(req, resp, deadline); err != nil {
 		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
-	switch st := resp.StatusCode(); st {
+	st := resp.StatusCode()
+	c.contact(st != fasthttp.StatusServiceUnavailable)
+	switch st {
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		return st, nil, fmt.Errorf("%w: status %d", ErrUnavailable, st)
 	default:
