--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -174,12 +174,14 @@
 // by urgency, then by how soon they must start to keep an aim that can still be
 // kept, the small ones sooner. Jobs that keep failing come last. A job of which
 // nothing has begun for long comes before all others, if only with a few of its
-// tasks: neither urgent nor small work may starve it.
+// tasks: neither urgent nor small work may starve it. Arrays that aren't pressed
+// have two turns, first for machines that have their image: the time that a
+// place is held for a fetch is lost to all.
 func (e *Engine) ranked(now time.Time) []placement.Turn {
 	type rank struct {
 		placement.Turn
-		aged, held bool
-		due        time.Time
+		aged, held, cold bool
+		due              time.Time
 	}
 	machines := float64(max(e.floor.Size(), fewMachines))
 	var out []rank
@@ -198,7 +200,14 @@
 		}
 		size := time.Duration(float64(e.workLeft(j)) * sizeWeight / machines)
 		size = time.Duration(float64(size) * max(0, 1-float64(wait)/float64(sizeFades)))
-		out = append(out, rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: e.dueStart(now, j).Add(size)})
+		due := e.dueStart(now, j)
+		r := rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: due.Add(size)}
+		if j.Shape == pipeline.Array && now.Add(pressed).Before(due) && e.expectedFetch(j) > longFetch {
+			warm := r
+			warm.Warm, r.cold = true, true
+			out = append(out, warm)
+		}
+		out = append(out, r)
 	}
 	sort.SliceStable(out, func(i, k int) bool {
 		a, b := &out[i], &out[k]
@@ -211,6 +220,9 @@
 		if !a.aged && a.Job.Priority != b.Job.Priority {
 			return a.Job.Priority < b.Job.Priority
 		}
+		if a.cold != b.cold {
+			return b.cold
+		}
 		return a.due.Before(b.due)
 	})
 	turns := make([]placement.Turn, len(out))
@@ -241,6 +253,13 @@
 	agedPart    = 8
 )
 
+// Arrays whose image takes longer than longFetch to fetch first look for machines
+// that have it, until they are pressed: so long before they are due.
+const (
+	longFetch = 10 * time.Second
+	pressed   = 20 * time.Second
+)
+
 // noAim is the time to start that a job without aims is given; lateFactor is
 // how much later than its last aim a job counts that can keep none any more:
 // it lets those go first that can, but isn't put off for good.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -166,18 +166,20 @@
 // secondsPerDollarHour weighs a dearer place against time lost on fetching.
 const secondsPerDollarHour = 1.0
 
+// fullerSeconds weighs an untouched machine against time lost on fetching: room
+// left whole is what large tasks and gangs need, and what can be given back.
+const fullerSeconds = 10.0
+
 // Score ranks slots for a task; the lowest is best. It adds up the time until
-// the image is there, what the place costs, and a little for untouched
-// machines, so that machines empty out.
+// the image is there, what the place costs, and how much of the machine is free,
+// so that room stays whole and machines empty out.
 func Score(now time.Time, s *Slot, j *pipeline.Job) float64 {
 	sp := &j.Spec
 	score := (Share(s.Type, sp) + waste(s, sp)) * s.Type.Price(s.Spot) * secondsPerDollarHour
 	if s.Machine != nil {
 		score += s.Machine.FetchLeft(now, sp.Image, sp.ImageGB, s.Type.FetchGBPerS).Seconds()
 	}
-	if s.Machine != nil && len(s.Machine.Tasks) == 0 {
-		score += 1
-	}
+	score += fullerSeconds * s.CPUs / s.Type.CPUs
 	if s.Machine != nil && s.Machine.Errors > 0 {
 		score += 60 // on probation
 	}
@@ -191,12 +193,17 @@
 	Slot *Slot
 }
 
-// Turn is a job's place in a round, and how many of its tasks it may place there.
+// Turn is a job's place in a round, how many of its tasks it may place there, and
+// whether only where its image is there already or soon.
 type Turn struct {
 	Job  *pipeline.Job
 	Most int
+	Warm bool
 }
 
+// warmWithin is how soon an image must be there for a place to count as warm.
+const warmWithin = 3 * time.Second
+
 // Board is what a round decides on.
 type Board struct {
 	Now     time.Time
@@ -258,7 +265,7 @@
 		if j.Shape == pipeline.Gang {
 			b.placeGang(j)
 		} else {
-			b.placeTasks(j, t.Most)
+			b.placeTasks(t)
 		}
 	}
 	return true
@@ -314,8 +321,9 @@
 // placeTasks places as many tasks as there is room for, and at most so many.
 // Slots are filled one after the other, since a task more on a machine that has
 // the image, or is in use, costs nothing more.
-func (b *Board) placeTasks(j *pipeline.Job, most int) {
-	room := min(b.quotaRoom(j), most)
+func (b *Board) placeTasks(t Turn) {
+	j := t.Job
+	room := min(b.quotaRoom(j), t.Most)
 	want := min(room, j.Count(pipeline.Waiting))
 	if want == 0 {
 		return
@@ -327,6 +335,9 @@
 	}
 	placed := 0
 	for _, s := range slots {
+		if t.Warm && s.Machine.FetchLeft(b.Now, j.Image, j.ImageGB, s.Type.FetchGBPerS) > warmWithin {
+			continue
+		}
 		for task >= 0 && placed < want && s.Free(&j.Spec) > 0 && ZoneRoom(j, s.Zone, b.InZones(j.Ref)) > 0 &&
 			s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: task}] == nil {
 			s.Take(&j.Spec)
@@ -335,7 +346,7 @@
 			task = j.NextWaiting(b.Now, task+1)
 		}
 	}
-	if unmet := want - placed; unmet > 0 && task >= 0 {
+	if unmet := want - placed; unmet > 0 && task >= 0 && !t.Warm {
 		b.wait(j, 1, b.InZones(j.Ref))
 		b.Unmet(j, unmet)
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -65,7 +65,7 @@
 		Preempts: func(*pipeline.Job) bool { return true },
 	}
 	for _, j := range jobs {
-		b.Turns = append(b.Turns, Turn{j, len(j.Tasks)})
+		b.Turns = append(b.Turns, Turn{Job: j, Most: len(j.Tasks)})
 	}
 	for _, m := range machines {
 		b.Floor.Set(m, types[m.Type], false)
