--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -45,7 +45,7 @@
 	looked := 0
 	lowest, teams := e.runningWork()
 	b := &placement.Board{
-		Now: now, Turns: e.ranked(now), Floor: &e.floor,
+		Now: now, Turns: e.ranked(now), Floor: &e.floor, GangSlack: max(0, e.cfg.GangWait-e.cfg.ReportEvery*5/4),
 		Team:    func(name string) placement.Team { return e.cfg.Teams[name] },
 		Usage:   func(team string) fleet.Amount { return e.teamUse[team] },
 		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
@@ -364,7 +364,8 @@
 	if j.Shape == pipeline.Gang && d.Task > 0 {
 		n = j.Tasks[0].Attempt // the tasks of a gang find each other by it
 	}
-	a := &fleet.Attempt{Key: fleet.Key{Ref: j.Ref, Task: d.Task}, Number: n, CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB, Image: j.Image}
+	a := &fleet.Attempt{Key: fleet.Key{Ref: j.Ref, Task: d.Task}, Number: n, CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB, Image: j.Image,
+		NotBefore: now.Add(d.Delay)}
 	e.attach(now, d.Slot.Machine, a, fleet.Intended)
 	e.writes.fresh = append(e.writes.fresh, a)
 	j.Assign(d.Task, d.Slot.Machine.Name, n)
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -21,6 +21,7 @@
 	ReportEvery  time.Duration
 	Lease        time.Duration
 	CancelWithin time.Duration
+	GangWait     time.Duration // how long a gang's task waits for the others
 	ListLag      time.Duration
 	RestartLimit int           // bad exits of a task before it is held back
 	BatchEvery   time.Duration // how often partial progress is written
@@ -253,6 +254,7 @@
 	}
 	if to == fleet.Running {
 		u.running++
+		e.debug("running", "job", a.Ref, "task", a.Task, "machine", m.Name, "after", now.Sub(a.SentAt), "fetch_expected", a.FetchGuess)
 	}
 	if to != fleet.Exited {
 		return
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -85,24 +85,27 @@
 // Attempt is one attempt that is, or may be, on a machine.
 type Attempt struct {
 	Key
-	On       *Machine
-	Page     *Page // the page of the start log that names it; nil: none does yet
-	Number   uint64
-	state    TaskState
-	Cause    Cause
-	ToldSeq  uint64 // the report in answer to which the machine was last told something about it
-	Inherit  bool   // from an earlier term: only a report under this term's token proves it gone
-	Foreign  bool   // not wanted here; stopped and never counted as a result of ours
-	StopAt   time.Time
-	Stopping bool
-	Grace    time.Duration
-	Handled  bool // the exit was dealt with; the worker may forget it
-	CPUs     float64
-	GPUs     float64
-	MemGB    float64
-	Image    string
-	Since    time.Time // when it entered its state
-	RunStart time.Time
+	On         *Machine
+	Page       *Page // the page of the start log that names it; nil: none does yet
+	Number     uint64
+	state      TaskState
+	Cause      Cause
+	ToldSeq    uint64 // the report in answer to which the machine was last told something about it
+	Inherit    bool   // from an earlier term: only a report under this term's token proves it gone
+	Foreign    bool   // not wanted here; stopped and never counted as a result of ours
+	StopAt     time.Time
+	Stopping   bool
+	Grace      time.Duration
+	Handled    bool // the exit was dealt with; the worker may forget it
+	CPUs       float64
+	GPUs       float64
+	MemGB      float64
+	Image      string
+	Since      time.Time // when it entered its state
+	RunStart   time.Time
+	NotBefore  time.Time     // when its start may leave
+	SentAt     time.Time     // when its start left
+	FetchGuess time.Duration // how long its image was then expected to take
 }
 
 // State returns the attempt's state.
@@ -272,20 +275,22 @@
 func (m *Machine) Forgive() { m.Errors, m.ErrorJobs = 0, nil }
 
 // FetchLeft is how long until an image is expected to be there; one that isn't
-// being fetched yet shares the rate with those that are.
+// being fetched yet shares the rate with those that are, until the shorter of
+// the two is there.
 func (m *Machine) FetchLeft(now time.Time, name string, gb, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
-	var queue time.Duration
+	alone := time.Duration(gb / rate * float64(time.Second))
+	all := alone
 	for _, i := range m.Images {
 		left := max(0, i.Ready.Sub(now))
 		if i.Name == name {
 			return left
 		}
-		queue = max(queue, left)
+		all += min(alone, left)
 	}
-	return queue + time.Duration(gb/rate*float64(time.Second))
+	return all
 }
 
 // UseImage notes that a task with an image was started; the cache keeps the
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -188,9 +189,10 @@
 
 // Decision puts a task of a job on a machine.
 type Decision struct {
-	Job  *pipeline.Job
-	Task int
-	Slot *Slot
+	Job   *pipeline.Job
+	Task  int
+	Slot  *Slot
+	Delay time.Duration // how long to put its start off
 }
 
 // Turn is a job's place in a round, how many of its tasks it may place there, and
@@ -223,6 +225,8 @@
 	MayStop  func(by *pipeline.Job, a *fleet.Attempt) (cost float64, ok bool)
 	Stop     func(a *fleet.Attempt)
 	Preempts func(by *pipeline.Job) bool
+	// GangSlack is by how much the fetches of a gang's tasks may differ.
+	GangSlack time.Duration
 	// Waits is for how many jobs that have no room this round keeps or makes some;
 	// without any, what the last such round kept stays so.
 	Waits int
@@ -341,7 +345,7 @@
 		for task >= 0 && placed < want && s.Free(&j.Spec) > 0 && ZoneRoom(j, s.Zone, b.InZones(j.Ref)) > 0 &&
 			s.Machine.Tasks[fleet.Key{Ref: j.Ref, Task: task}] == nil {
 			s.Take(&j.Spec)
-			b.Commit(Decision{j, task, s.Slot})
+			b.Commit(Decision{Job: j, Task: task, Slot: s.Slot})
 			placed++
 			task = j.NextWaiting(b.Now, task+1)
 		}
@@ -372,16 +376,29 @@
 		}
 	}
 	if best != nil {
-		for i, s := range best {
-			s.Take(&j.Spec)
-			b.Commit(Decision{j, i, s})
-		}
+		b.startGang(j, best)
 		return
 	}
 	b.wait(j, n, map[string]int{})
 	b.Unmet(j, n)
 }
 
+// startGang places a gang. A task that has its image waits only so long for the
+// others, so where the fetches differ by more, the quick ones are started later.
+// A fetch mostly takes less than expected, and the gang starts with its last one,
+// so a part of the longest is left out.
+func (b *Board) startGang(j *pipeline.Job, slots []*Slot) {
+	fetch := make([]time.Duration, len(slots))
+	for i, s := range slots {
+		fetch[i] = s.Machine.FetchLeft(b.Now, j.Image, j.ImageGB, s.Type.FetchGBPerS)
+	}
+	last := slices.Max(fetch)
+	for i, s := range slots {
+		s.Take(&j.Spec)
+		b.Commit(Decision{Job: j, Task: i, Slot: s, Delay: max(0, last*4/5-fetch[i]-b.GangSlack)})
+	}
+}
+
 // gangZones are the zones to try one by one; an empty name stands for all.
 func (b *Board) gangZones(j *pipeline.Job) []string {
 	if j.OneZone && len(j.Tasks) > 1 {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -119,6 +119,27 @@
 	}
 }
 
+// A gang's tasks wait for each other for a while only: where one has its image at
+// once and another fetches for longer, the quick one starts later. A gang once
+// gave up five times, each time after the fetch had almost come to its end.
+func TestGangStartsTogether(t *testing.T) {
+	gang := job(t, pipeline.Spec{Ref: "j-1", Tasks: 2, CPUs: 8, Shape: pipeline.Gang, Image: "i", ImageGB: 60})
+	warm, cold := machine("m-1", "cpu", "a"), machine("m-2", "cpu", "a")
+	warm.UseImage(time.Unix(0, 0), "i", 60, 100, 1)
+	b := newBoard(t, []*pipeline.Job{gang}, warm, cold)
+	b.GangSlack = 10 * time.Second
+	new(Round).Run(&b.Board)
+	for _, d := range b.placed {
+		want := map[string]time.Duration{"m-1": 38 * time.Second, "m-2": 0}[d.Slot.Machine.Name]
+		if d.Delay != want {
+			t.Errorf("start on %s put off by %s, not %s", d.Slot.Machine.Name, d.Delay, want)
+		}
+	}
+	if len(b.placed) != 2 {
+		t.Fatalf("placed %v", b.placed)
+	}
+}
+
 // Work without GPUs goes where it wastes none.
 func TestCheaperPlace(t *testing.T) {
 	j := job(t, pipeline.Spec{Ref: "j-1", Tasks: 1, CPUs: 4})
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -285,11 +285,12 @@
 			c.Op, c.Grace = fleet.Stop, a.Grace
 			a.ToldSeq = m.Seq
 			stops = append(stops, c)
-		case st == fleet.Recorded && !a.Inherit && e.mayStart(m):
+		case st == fleet.Recorded && !a.Inherit && e.mayStart(m) && !now.Before(a.NotBefore):
 			c.Op = fleet.Start
 			a.ToldSeq = m.Seq
 			e.moveAttempt(now, m, a, fleet.Sent)
 			cache, rate := e.catalog.Images(m.Type)
+			a.SentAt, a.FetchGuess = now, m.FetchLeft(now, a.Image, e.imageGB(a.Ref), rate)
 			m.UseImage(now, a.Image, e.imageGB(a.Ref), cache, rate)
 			starts = append(starts, c)
 			e.debug("start", "job", a.Ref, "task", a.Task, "machine", m.Name, "attempt", a.Number)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,7 +80,7 @@
 	d.core = core.Config{
 		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
-		CancelWithin: p.Workers.Cancel.Duration(), ListLag: p.Cloud.ListLag.Duration(),
+		CancelWithin: p.Workers.Cancel.Duration(), GangWait: p.Workers.GangWait.Duration(), ListLag: p.Cloud.ListLag.Duration(),
 		RestartLimit: 3, BatchEvery: 2 * time.Second, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
 		Debug: slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -360,6 +360,9 @@
 	})
 }
 
+// gangWait is how long a gang's task waits for the others.
+const gangWait = 15 * time.Second
+
 // land puts the task on its machine: its image is there.
 func (t *task) land() {
 	t.onIt = true
@@ -369,7 +372,7 @@
 		return
 	}
 	t.state = fleet.WaitingForGang
-	t.timer(15*time.Second, func() { t.exit(fleet.CauseAlone, false) })
+	t.timer(gangWait, func() { t.exit(fleet.CauseAlone, false) })
 	mates := t.job.mates(t.attempt)
 	if len(mates) < t.job.spec.Tasks {
 		return
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -168,6 +168,6 @@
 // coreConfig is the core's part of this world's settings.
 func (w *World) coreConfig() core.Config {
 	return core.Config{Teams: w.teams, Debug: w.Trace != nil, ReportEvery: w.o.Report, Lease: w.o.Lease,
-		CancelWithin: w.o.Cancel, ListLag: 2 * time.Second, RestartLimit: 3,
+		CancelWithin: w.o.Cancel, GangWait: gangWait, ListLag: 2 * time.Second, RestartLimit: 3,
 		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 200}
 }
