--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -11,13 +11,16 @@
 	"gingertally/internal/core/placement"
 )
 
-// decideEvery bounds how often a round of decisions is begun without need,
-// planEvery how often rentals and returns are thought about, and room is kept or
-// made for what waits.
-const (
-	decideEvery = time.Second
-	planEvery   = time.Second
-)
+// decideEvery bounds how often a round of decisions is begun without need.
+const decideEvery = time.Second
+
+// planEvery is how often rentals and returns are thought about, and room is kept
+// or made for what waits: a look at all machines, so less often the more there are.
+func (e *Engine) planEvery() time.Duration {
+	return min(time.Duration(e.floor.Size())*planEach, time.Second)
+}
+
+const planEach = 4 * time.Millisecond
 
 // settled tells whether a new leader has heard enough to place: all machines
 // that the start log names, or one report period has passed.
@@ -38,7 +41,7 @@
 	}
 	e.replan, e.placedAt = false, now
 	e.layFloor(now)
-	plan := now.Sub(e.plannedAt) >= planEvery
+	plan := now.Sub(e.plannedAt) >= e.planEvery()
 	if !e.round.Resumes() {
 		e.demand = nil
 	}
@@ -199,7 +202,7 @@
 			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted})
 		}
 		size := time.Duration(float64(e.workLeft(j)) * sizeWeight / machines)
-		size = time.Duration(float64(size) * max(0, 1-float64(wait)/float64(sizeFades)))
+		size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
 		due := e.dueStart(now, j)
 		r := rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: due.Add(size)}
 		if j.Shape == pipeline.Array && now.Add(pressed).Before(due) && e.expectedFetch(j) > longFetch {
@@ -245,7 +248,8 @@
 // How size counts against a job: sizeWeight seconds for each second of a machine
 // that it needs, divided among the machines that are up, of which there are taken
 // to be fewMachines at least. When not all can be in time, more jobs are if the
-// small ones go first. It counts less the longer the job has waited.
+// small ones go first. It counts less once the job has waited for sizeFades, and
+// not at all after twice that.
 const (
 	sizeWeight  = 12
 	fewMachines = 36
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -151,7 +151,7 @@
 }
 
 // tickEvery is how often time passes for the engine.
-const tickEvery = 200 * time.Millisecond
+const tickEvery = 100 * time.Millisecond
 
 // roundTime is the time budget of one round of decisions.
 const roundTime = 60 * time.Millisecond
@@ -186,7 +186,7 @@
 // holdReply is how long the answer to a report that freed room is held, for the
 // next round to place something there and the store to take that. Workers wait
 // 4 s for an answer.
-const holdReply = 400 * time.Millisecond
+const holdReply = 250 * time.Millisecond
 
 // writeLoop writes what the engine has to write, one transaction at a time.
 func (r *reign) writeLoop() error {
