--- /dev/null
+++ b/internal/standin/starve_test.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gingertally/internal/core/pipeline"
+)
+
+// beginWithin is how soon the largest jobs must begin (the users' check).
+const beginWithin = 4 * time.Minute
+
+// flow submits work without end for more than there is room: small urgent
+// arrays, small normal ones of another team, and now and then a large gang, a
+// large array and one of low priority.
+func flow(w *World) {
+	n := 0
+	add := func(at time.Duration, s pipeline.Spec, run time.Duration) {
+		n++
+		s.Ref, s.Image, s.ImageGB, s.MemGB, s.Spot = fmt.Sprintf("j-%06d", n), "img-0", 1, 4, true
+		s.Estimate, s.Checkpoint, s.Save = run, 3*time.Second, time.Second
+		j := &userJob{w: w, spec: s, run: run, done: map[int]bool{}}
+		w.jobs[s.Ref] = j
+		w.after(at, j.submit)
+	}
+	for at := time.Duration(0); at < w.o.Length; at += 2 * time.Second {
+		jitter := w.between(0, 2*time.Second)
+		add(at+jitter, pipeline.Spec{Class: "small", Team: "blue", Tasks: 6, CPUs: 4, Priority: pipeline.High}, 12*time.Second)
+		add(at+jitter, pipeline.Spec{Class: "plain", Team: "green", Tasks: 4, CPUs: 4, Priority: pipeline.Normal}, 12*time.Second)
+		if at%(60*time.Second) == 20*time.Second {
+			add(at, pipeline.Spec{Class: "gang", Team: "green", Tasks: 4, CPUs: 14, Priority: pipeline.Normal, Shape: pipeline.Gang, OneZone: true}, 20*time.Second)
+			add(at, pipeline.Spec{Class: "wide", Team: "green", Tasks: 40, CPUs: 4, Priority: pipeline.Normal}, 12*time.Second)
+			add(at, pipeline.Spec{Class: "low", Team: "blue", Tasks: 8, CPUs: 4, Priority: pipeline.Low}, 12*time.Second)
+		}
+	}
+}
+
+// TestNothingStarves plays a steady flow of small and more urgent work beyond
+// what there is room for, and holds the users' check of a day's end: the largest
+// jobs begin within four minutes, and half of each class and team is served.
+func TestNothingStarves(t *testing.T) {
+	for seed := range uint64(4) {
+		o := options(seed, false)
+		o.Jobs, o.Length, o.Drain = 0, 6*time.Minute, 4*time.Minute
+		w := NewWorld(o)
+		flow(w)
+		if err := w.Run(); err != nil {
+			t.Fatal(err)
+		}
+		type count struct{ all, served int }
+		by := map[string]*count{}
+		for _, j := range w.jobs {
+			wait := j.began.Sub(j.asked)
+			if j.began.IsZero() {
+				wait = w.now.Sub(j.asked)
+			}
+			largest := j.spec.Class == "gang" || j.spec.Class == "wide" || j.spec.Class == "low"
+			if largest && wait > beginWithin {
+				t.Errorf("seed %d: %s %s began after %s", seed, j.spec.Class, j.spec.Ref, wait)
+			}
+			for _, k := range []string{"class " + j.spec.Class, "team " + j.spec.Team} {
+				if by[k] == nil {
+					by[k] = &count{}
+				}
+				by[k].all++
+				if j.told == pipeline.Done {
+					by[k].served++
+				}
+			}
+		}
+		for k, c := range by {
+			if 2*c.served < c.all {
+				t.Errorf("seed %d: %d of %d served of %s", seed, c.served, c.all, k)
+			}
+		}
+	}
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -24,6 +24,8 @@
 	told        pipeline.Phase
 	cancelTold  time.Time
 	done        map[int]bool
+	asked       time.Time // when it was first submitted
+	began       time.Time // when a first task of it ran
 	answered    time.Time // when a question was last answered
 }
 
@@ -115,6 +117,9 @@
 }
 
 func (j *userJob) submit() {
+	if j.asked.IsZero() {
+		j.asked = j.w.now
+	}
 	n := j.anyNode()
 	if n.down || n.cutOff() {
 		j.w.after(time.Second, j.submit)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -389,6 +389,9 @@
 
 func (t *task) run() {
 	t.state = fleet.Running
+	if t.job.began.IsZero() {
+		t.job.began = t.m.w.now
+	}
 	t.m.changed()
 	switch {
 	case t.m.sick || t.job.mistake:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -95,7 +95,7 @@
 		"small": {Name: "small", CPUs: 4, MemGB: 16, CacheGB: 10, FetchGBPerS: 0.5, Hourly: 1, SpotHour: 0.4, Boot: 8 * time.Second, Zones: w.zones},
 		"large": {Name: "large", CPUs: 16, GPUs: 4, MemGB: 64, CacheGB: 10, FetchGBPerS: 1, Hourly: 6, SpotHour: 2, Boot: 10 * time.Second, Zones: w.zones},
 	}
-	w.teams = map[string]placement.Team{"red": {CPUsMax: 20, GPUs: 2, GPUsMax: 4}, "blue": {CPUs: 8}}
+	w.teams = map[string]placement.Team{"red": {CPUsMax: 20, GPUs: 2, GPUsMax: 4}, "blue": {CPUs: 8}, "green": {}}
 	w.check = newChecker(w)
 	w.cloud = &cloudSim{w: w, answered: map[string][]string{}}
 	for i := range o.Nodes {
