--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -32,7 +32,7 @@
 }
 
 // waitsInRound is for how many jobs a round keeps or makes room.
-const waitsInRound = 8
+const waitsInRound = 30
 
 // decide runs a round of decisions, then plans what to rent and give back.
 func (e *Engine) decide(now time.Time, spent func() bool) {
@@ -240,7 +240,7 @@
 // of that for room to be kept for it.
 func (e *Engine) agesAfter(j *pipeline.Job) time.Duration {
 	if j.Shape == pipeline.Gang && len(j.Tasks) > 1 {
-		return 100 * time.Second
+		return 40 * time.Second
 	}
 	return 150 * time.Second
 }
