--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -15,6 +15,7 @@
 
 	"gingertally/internal/config"
 	"gingertally/internal/daemon"
+	"gingertally/internal/operator"
 )
 
 // version of the program.
@@ -22,7 +23,7 @@
 
 type cli struct {
 	Serve       serveCmd       `cmd:"" default:"withargs" help:"Run a controller with the platform's settings file."`
-	CheckConfig checkConfigCmd `cmd:"" name:"check-config" help:"Check a settings file without starting anything."`
+	CheckConfig checkConfigCmd `cmd:"" name:"check-config" help:"Check the settings files without starting anything."`
 	Version     versionCmd     `cmd:"" help:"Print the version."`
 	Submit      submitCmd      `cmd:"" help:"Submit a job."`
 	Get         getCmd         `cmd:"" help:"Print a job's state."`
@@ -30,16 +31,29 @@
 	Wait        waitCmd        `cmd:"" help:"Wait until a job is done or cancelled."`
 }
 
-type serveCmd struct {
-	Config string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+// settingsFiles are the files that a controller reads at its start.
+type settingsFiles struct {
+	Config           string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+	OperatorSettings string `placeholder:"FILE" env:"GINGERTALLY_OPERATOR_SETTINGS" help:"The operators' own settings (protobuf text format)."`
 }
 
+func (f *settingsFiles) load() (*config.Settings, operator.Settings, error) {
+	cfg, err := config.Load(f.Config)
+	if err != nil {
+		return nil, operator.Settings{}, err
+	}
+	op, err := operator.Load(f.OperatorSettings)
+	return cfg, op, err
+}
+
+type serveCmd struct{ settingsFiles }
+
 func (c *serveCmd) Run() error {
-	cfg, err := config.Load(c.Config)
+	cfg, op, err := c.load()
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(cfg)
+	d, err := daemon.New(cfg, op)
 	if err != nil {
 		return err
 	}
@@ -51,12 +65,10 @@
 	return nil
 }
 
-type checkConfigCmd struct {
-	Config string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
-}
+type checkConfigCmd struct{ settingsFiles }
 
 func (c *checkConfigCmd) Run() error {
-	if _, err := config.Load(c.Config); err != nil {
+	if _, _, err := c.load(); err != nil {
 		return err
 	}
 	fmt.Println("settings are valid")
--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -20,8 +20,6 @@
 	settledRun = 35 * time.Second
 	// moveOverhead is what a move costs besides saving: exit, start, image check.
 	moveOverhead = 4 * time.Second
-	// moveGain is how many times its cost a move must save.
-	moveGain = 3.0
 	// emptiedPart is the part of the fleet that may be emptied at once.
 	emptiedPart = 25
 	// rateWindow smooths the observed arrivals.
@@ -134,7 +132,7 @@
 		moved = append(moved, j)
 	}
 	sort.Slice(moved, func(i, k int) bool { return moved[i].Ref < moved[k].Ref })
-	return candidate{s, moved, price*longest.Seconds() - moveGain*cost}
+	return candidate{s, moved, price*longest.Seconds() - v.e.cfg.Weights.MoveGain*cost}
 }
 
 func (v *moving) copyOf(s *placement.Slot) *placement.Slot {
@@ -194,7 +192,7 @@
 			return
 		}
 		if c := v.copyOf(o); c.Free(&j.Spec) > 0 {
-			if sc := placement.Score(v.now, c, j); sc < low {
+			if sc := placement.Score(v.now, c, j, v.e.cfg.Weights.SecondsPerDollarHour); sc < low {
 				best, low = c, sc
 			}
 		}
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -48,7 +48,7 @@
 	looked := 0
 	lowest, teams := e.runningWork()
 	b := &placement.Board{
-		Now: now, Turns: e.ranked(now), Floor: &e.floor, GangSlack: max(0, e.cfg.GangWait-e.cfg.ReportEvery*5/4),
+		Now: now, Turns: e.ranked(now), Floor: &e.floor, SecondsPerDollarHour: e.cfg.Weights.SecondsPerDollarHour, GangSlack: max(0, e.cfg.GangWait-e.cfg.ReportEvery*5/4),
 		Team:    func(name string) placement.Team { return e.cfg.Teams[name] },
 		Usage:   func(team string) fleet.Amount { return e.teamUse[team] },
 		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
@@ -201,7 +201,7 @@
 			}
 			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted})
 		}
-		size := time.Duration(float64(e.workLeft(j)) * sizeWeight / machines)
+		size := time.Duration(float64(e.workLeft(j)) * e.cfg.Weights.SmallFirst / machines)
 		size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
 		due := e.dueStart(now, j)
 		r := rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: due.Add(size)}
@@ -245,13 +245,12 @@
 	return 150 * time.Second
 }
 
-// How size counts against a job: sizeWeight seconds for each second of a machine
-// that it needs, divided among the machines that are up, of which there are taken
-// to be fewMachines at least. When not all can be in time, more jobs are if the
+// How size counts against a job: Weights.SmallFirst seconds for each second of a
+// machine that it needs, divided among the machines that are up, of which there
+// are taken to be fewMachines at least. When not all can be in time, more jobs are if the
 // small ones go first. It counts less once the job has waited for sizeFades, and
 // not at all after twice that.
 const (
-	sizeWeight  = 12
 	fewMachines = 36
 	sizeFades   = 4 * time.Minute
 	agedPart    = 8
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -27,9 +27,23 @@
 	BatchEvery   time.Duration // how often partial progress is written
 	MaxPerValue  int           // bytes that one value in the store may have
 	RoundBudget  int           // tasks looked at in one round of decisions
+	Weights      Weights       // of money against lateness
 	Debug        bool          // notes at debug level are wanted
 }
 
+// Weights say what money is worth against lateness.
+type Weights struct {
+	SecondsPerDollarHour float64 // of delay that a place costing a dollar an hour more is worth
+	IdleDollars          float64 // that may be spent on keeping one idle machine ready
+	MoveGain             float64 // how many times its cost a move of tasks must save
+	SmallFirst           float64 // seconds of due time that a second of machine time counts against a job
+}
+
+// DefaultWeights are the weights that docs/rounds.md arrived at.
+func DefaultWeights() Weights {
+	return Weights{SecondsPerDollarHour: 1, IdleDollars: 0.1, MoveGain: 3, SmallFirst: 12}
+}
+
 // AimKind is what an aim is about.
 type AimKind uint8
 
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -12,12 +12,12 @@
 const recentClass = 4 * time.Minute
 
 // idleUseless is how long a machine is kept that no recent class of jobs fits.
-// Others are kept for idleUseful and as long as idleDollars pay for: being
+// Others are kept for idleUseful and as long as
+// Weights.IdleDollars pay for: being
 // there spares a job the boot time, whatever the machine costs.
 const (
 	idleUseless = 10 * time.Second
 	idleUseful  = 10 * time.Second
-	idleDollars = 0.1
 	idleMost    = 40 * time.Second
 )
 
@@ -48,7 +48,7 @@
 	if last.IsZero() {
 		return idleUseless
 	}
-	keep := idleUseful + time.Duration(idleDollars/max(p.Type.Price(p.Key.Spot), 0.01)*float64(time.Hour))
+	keep := idleUseful + time.Duration(e.cfg.Weights.IdleDollars/max(p.Type.Price(p.Key.Spot), 0.01)*float64(time.Hour))
 	if now.Sub(last) > idleMost {
 		keep = min(keep, idleMost)
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -164,9 +164,6 @@
 	return 0
 }
 
-// secondsPerDollarHour weighs a dearer place against time lost on fetching.
-const secondsPerDollarHour = 1.0
-
 // fullerSeconds weighs an untouched machine against time lost on fetching: room
 // left whole is what large tasks and gangs need, and what can be given back.
 const fullerSeconds = 10.0
@@ -174,7 +171,7 @@
 // Score ranks slots for a task; the lowest is best. It adds up the time until
 // the image is there, what the place costs, and how much of the machine is free,
 // so that room stays whole and machines empty out.
-func Score(now time.Time, s *Slot, j *pipeline.Job) float64 {
+func Score(now time.Time, s *Slot, j *pipeline.Job, secondsPerDollarHour float64) float64 {
 	sp := &j.Spec
 	score := (Share(s.Type, sp) + waste(s, sp)) * s.Type.Price(s.Spot) * secondsPerDollarHour
 	if s.Machine != nil {
@@ -225,6 +222,8 @@
 	MayStop  func(by *pipeline.Job, a *fleet.Attempt) (cost float64, ok bool)
 	Stop     func(a *fleet.Attempt)
 	Preempts func(by *pipeline.Job) bool
+	// SecondsPerDollarHour weighs a dearer place against time lost on fetching.
+	SecondsPerDollarHour float64
 	// GangSlack is by how much the fetches of a gang's tasks may differ.
 	GangSlack time.Duration
 	// Waits is for how many jobs that have no room this round keeps or makes some;
@@ -315,7 +314,7 @@
 	var out []scored
 	b.Floor.EachOpen(&j.Spec, zone, func(s *Slot) {
 		if !s.held(b.Now) && !j.BadOn[s.Machine.Name] {
-			out = append(out, scored{s, Score(b.Now, s, j)})
+			out = append(out, scored{s, Score(b.Now, s, j, b.SecondsPerDollarHour)})
 		}
 	})
 	sort.SliceStable(out, func(i, k int) bool { return out[i].score < out[k].score })
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -21,7 +21,7 @@
 func config() Config {
 	return Config{Teams: map[string]placement.Team{"t": {}}, ReportEvery: 3 * time.Second, Lease: 30 * time.Second,
 		CancelWithin: 60 * time.Second, ListLag: 4 * time.Second, RestartLimit: 3,
-		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 100}
+		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 100, Weights: DefaultWeights()}
 }
 
 func job(ref string, tasks int) StoredJob {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"gingertally/internal/health"
 	"gingertally/internal/jobstore"
 	"gingertally/internal/leadership"
+	"gingertally/internal/operator"
 	"gingertally/internal/peer"
 	"gingertally/internal/statestore"
 	"gingertally/internal/userapi"
@@ -31,6 +32,7 @@
 // Daemon is one controller.
 type Daemon struct {
 	cfg     *config.Settings
+	op      operator.Settings
 	core    core.Config
 	store   *statestore.Client
 	jobs    *jobstore.Jobs // for users' calls
@@ -74,14 +76,14 @@
 }
 
 // New makes a controller.
-func New(cfg *config.Settings) (*Daemon, error) {
+func New(cfg *config.Settings, op operator.Settings) (*Daemon, error) {
 	p := &cfg.Params
-	d := &Daemon{cfg: cfg, started: time.Now(), health: health.New(time.Now())}
+	d := &Daemon{cfg: cfg, op: op, started: time.Now(), health: health.New(time.Now())}
 	d.core = core.Config{
 		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
 		CancelWithin: p.Workers.Cancel.Duration(), GangWait: p.Workers.GangWait.Duration(), ListLag: p.Cloud.ListLag.Duration(),
-		RestartLimit: 3, BatchEvery: 2 * time.Second, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
+		RestartLimit: op.RestartLimit, BatchEvery: op.BatchInterval, Weights: op.Weights, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
 		Debug: slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	}
 	for _, t := range p.Teams {
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -153,9 +153,6 @@
 // tickEvery is how often time passes for the engine.
 const tickEvery = 100 * time.Millisecond
 
-// roundTime is the time budget of one round of decisions.
-const roundTime = 60 * time.Millisecond
-
 func (r *reign) tickLoop() error {
 	deafAfter := 3 * r.d.core.ReportEvery
 	for sleep(r.ctx, tickEvery) {
@@ -179,7 +176,7 @@
 }
 
 func (r *reign) decide() {
-	end := time.Now().Add(roundTime)
+	end := time.Now().Add(r.d.op.RoundBudget)
 	r.step(core.Tick{Spent: func() bool { return time.Now().After(end) }})
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -169,5 +169,5 @@
 func (w *World) coreConfig() core.Config {
 	return core.Config{Teams: w.teams, Debug: w.Trace != nil, ReportEvery: w.o.Report, Lease: w.o.Lease,
 		CancelWithin: w.o.Cancel, GangWait: gangWait, ListLag: 2 * time.Second, RestartLimit: 3,
-		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 200}
+		BatchEvery: 2 * time.Second, MaxPerValue: 4000, RoundBudget: 200, Weights: core.DefaultWeights()}
 }
