--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -29,6 +29,7 @@
 	Get         getCmd         `cmd:"" help:"Print a job's state."`
 	Cancel      cancelCmd      `cmd:"" help:"Cancel a job, unless it is done."`
 	Wait        waitCmd        `cmd:"" help:"Wait until a job is done or cancelled."`
+	Status      statusCmd      `cmd:"" help:"Show leader, machines, and why jobs wait."`
 }
 
 // settingsFiles are the files that a controller reads at its start.
--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -260,3 +260,25 @@
 	}
 	return !a.Spot && b.Spot
 }
+
+// Outlook tells whether machines that a job may use are being asked for, and
+// whether all such offers have been refused of late.
+func (p *Plan) Outlook(now time.Time, sp *pipeline.Spec, c placement.Catalog) (asked, refused bool) {
+	refused = true
+	for _, t := range c {
+		if !sp.AllowsType(t.Name) || !t.Fits(sp) {
+			continue
+		}
+		for _, z := range t.Zones {
+			for _, spot := range [2]bool{false, true} {
+				o := Offer{t.Name, z, spot}
+				if (sp.Zone != "" && sp.Zone != z) || (spot && !sp.Spot) {
+					continue
+				}
+				asked = asked || p.asking[o] > 0
+				refused = refused && p.refused[o].until.After(now)
+			}
+		}
+	}
+	return asked, refused
+}
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -29,8 +29,12 @@
 }
 
 func newBench(t *testing.T, term uint64, snap Snapshot) *bench {
+	return newBenchWith(t, config(), term, snap)
+}
+
+func newBenchWith(t *testing.T, cfg Config, term uint64, snap Snapshot) *bench {
 	b := &bench{t: t, now: time.Unix(5000, 0), seq: map[string]uint64{}}
-	b.e = New(b.now, config(), term, snap, rand.New(rand.NewPCG(1, 1)))
+	b.e = New(b.now, cfg, term, snap, rand.New(rand.NewPCG(1, 1)))
 	b.e.Step(b.now, Catalog{placement.Catalog{"big": {Name: "big", CPUs: 8, MemGB: 32, CacheGB: 10, FetchGBPerS: 1, Hourly: 1, Boot: 20 * time.Second, Zones: []string{"a"}}}})
 	return b
 }
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,132 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+// Status is a leader's state as an operator wants to see it.
+type Status struct {
+	Term     uint64
+	Settled  bool // past the takeover: whatever is proven free may be used
+	Pools    []PoolStatus
+	Waiting  []WaitingJob // the first of them, in ready order
+	Waits    int          // how many wait in all
+	Active   int          // jobs that aren't over
+	Unstored int          // starts that wait for the state service
+}
+
+// PoolStatus counts the machines that are alike.
+type PoolStatus struct {
+	Type, Zone string
+	Spot       bool
+	States     map[string]int // machines by state
+	Draining   int
+	Attempts   int // what may be on them
+}
+
+// WaitingJob is a job with tasks that wait, and why they do.
+type WaitingJob struct {
+	Ref, Class, Team string
+	Waiting, Tasks   int
+	Since            time.Duration
+	Reason           string
+}
+
+// statusJobs is how many waiting jobs a status names.
+const statusJobs = 200
+
+// Reasons for which tasks wait.
+const (
+	ReasonTakeover = "a new leader is still hearing the machines"
+	ReasonPause    = "a pause after bad exits"
+	ReasonFails    = "it fails on machine after machine and goes last"
+	ReasonQuota    = "its team's limit"
+	ReasonOldGang  = "an earlier attempt of the gang isn't proven gone"
+	ReasonAsking   = "no room; machines are asked for or boot"
+	ReasonRefused  = "no room; the cloud has no more machines for it"
+	ReasonRoom     = "no room"
+)
+
+// Status tells of machines and of jobs that wait.
+func (e *Engine) Status(now time.Time) Status {
+	s := Status{Term: e.term, Settled: e.settled(now), Active: len(e.order), Unstored: len(e.writes.fresh)}
+	pools := map[placement.PoolKey]*PoolStatus{}
+	for _, m := range e.machines {
+		k := placement.PoolKey{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		p := pools[k]
+		if p == nil {
+			p = &PoolStatus{Type: m.Type, Zone: m.Zone, Spot: m.Spot, States: map[string]int{}}
+			pools[k] = p
+		}
+		p.States[m.State().String()]++
+		p.Attempts += m.Busy()
+		if m.Draining {
+			p.Draining++
+		}
+	}
+	for _, p := range pools {
+		s.Pools = append(s.Pools, *p)
+	}
+	sort.Slice(s.Pools, func(i, k int) bool { return poolLess(&s.Pools[i], &s.Pools[k]) })
+	seen := map[string]bool{}
+	for _, t := range e.ranked(now) {
+		if j := t.Job; !seen[j.Ref] {
+			seen[j.Ref] = true
+			if s.Waits++; s.Waits > statusJobs {
+				continue
+			}
+			s.Waiting = append(s.Waiting, WaitingJob{Ref: j.Ref, Class: j.Class, Team: j.Team, Waiting: j.Count(pipeline.Waiting),
+				Tasks: len(j.Tasks), Since: now.Sub(j.Submitted), Reason: e.reason(now, j, s.Settled)})
+		}
+	}
+	return s
+}
+
+func poolLess(a, b *PoolStatus) bool {
+	if a.Type != b.Type {
+		return a.Type < b.Type
+	}
+	if a.Zone != b.Zone {
+		return a.Zone < b.Zone
+	}
+	return !a.Spot && b.Spot
+}
+
+// reason is why a job's waiting tasks wait.
+func (e *Engine) reason(now time.Time, j *pipeline.Job, settled bool) string {
+	u, team := e.teamUse[j.Team], e.cfg.Teams[j.Team]
+	n := 1.0
+	if j.Shape == pipeline.Gang {
+		n = float64(len(j.Tasks))
+	}
+	switch {
+	case !settled:
+		return ReasonTakeover
+	case j.HeldBack(e.cfg.RestartLimit):
+		return ReasonFails
+	case j.NextWaiting(now, 0) < 0:
+		return ReasonPause
+	case j.Shape == pipeline.Gang && len(e.useOf(j.Ref).attempts) > 0:
+		return ReasonOldGang
+	case !team.Within(u.CPUs+n*j.CPUs, u.GPUs+n*j.GPUs):
+		return ReasonQuota
+	}
+	for _, m := range e.machines {
+		t := e.catalog[m.Type]
+		if m.State() == fleet.Booting && t != nil && t.Fits(&j.Spec) && j.AllowsType(m.Type) {
+			return ReasonAsking
+		}
+	}
+	switch asked, refused := e.plan.Outlook(now, &j.Spec, e.catalog); {
+	case asked:
+		return ReasonAsking
+	case refused:
+		return ReasonRefused
+	}
+	return ReasonRoom
+}
--- /dev/null
+++ b/internal/core/status_test.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+func waiting(t *testing.T, b *bench, ref string) string {
+	t.Helper()
+	for _, w := range b.e.Status(b.now).Waiting {
+		if w.Ref == ref {
+			return w.Reason
+		}
+	}
+	return "doesn't wait"
+}
+
+// An operator is told why each job waits.
+func TestStatusReasons(t *testing.T) {
+	limited, failing, large := job("j-1", 9), job("j-2", 1), job("j-3", 1)
+	limited.Record.Spec.Team = "small"
+	large.Record.Spec.CPUs = 8
+	cfg := config()
+	cfg.Teams["small"] = placement.Team{CPUsMax: 4}
+	b := newBenchWith(t, cfg, 2, Snapshot{Jobs: []StoredJob{limited, failing, large}})
+	if r := waiting(t, b, "j-1"); r != ReasonTakeover {
+		t.Errorf("at the takeover: %s", r)
+	}
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	started := starts(b.report("m-1", 2))
+	if r := waiting(t, b, "j-1"); r != ReasonQuota {
+		t.Errorf("at its team's limit: %s", r)
+	}
+	if r := waiting(t, b, "j-3"); r != ReasonAsking && r != ReasonRoom {
+		t.Errorf("without room: %s", r)
+	}
+	for _, c := range started {
+		if c.Ref == "j-2" {
+			b.report("m-1", 2, fleet.TaskReport{Ref: c.Ref, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseError})
+		}
+	}
+	if r := waiting(t, b, "j-2"); r != ReasonPause {
+		t.Errorf("after a bad exit: %s", r)
+	}
+	s := b.e.Status(b.now)
+	if s.Term != 2 || !s.Settled || s.Active != 3 || len(s.Pools) != 1 || s.Pools[0].States["live"] != 1 {
+		t.Errorf("status %+v", s)
+	}
+	if b.e.jobs["j-2"].Phase() != pipeline.Active {
+		t.Error("a job that failed once is over")
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	reign   atomic.Pointer[reign]
 	catalog atomic.Pointer[placement.Catalog]
 	health  *health.Tracker
+	metrics *metrics
 	// nobodyUntil is until when no other node is asked to serve users' calls.
 	nobodyUntil atomic.Int64
 	started     time.Time
@@ -78,7 +79,7 @@
 // New makes a controller.
 func New(cfg *config.Settings, op operator.Settings) (*Daemon, error) {
 	p := &cfg.Params
-	d := &Daemon{cfg: cfg, op: op, started: time.Now(), health: health.New(time.Now())}
+	d := &Daemon{cfg: cfg, op: op, started: time.Now(), health: health.New(time.Now()), metrics: newMetrics()}
 	d.core = core.Config{
 		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
--- a/internal/daemon/elsewhere.go
+++ b/internal/daemon/elsewhere.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"gingertally/internal/leadership"
@@ -90,6 +91,7 @@
 }
 
 func (d *Daemon) storeAnswered(served bool) {
+	d.metrics.store.WithLabelValues(strconv.FormatBool(served)).Inc()
 	if served {
 		d.health.StoreServed(time.Now())
 	} else {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -62,13 +62,22 @@
 
 func (d *Daemon) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
 	path, method := string(rc.Path()), string(rc.Method())
-	if path == "/healthz" {
+	switch path {
+	case "/healthz":
 		rc.SetStatusCode(d.healthz())
 		return
+	case "/metrics":
+		d.metrics.handler(rc)
+		return
+	case statusPath:
+		rc.SetContentType("application/json")
+		rc.SetBody(d.statusAnywhere(ctx))
+		return
 	}
 	body := rc.PostBody()
 	if method == "POST" && path == beatPath {
 		a := d.agents.Beat(ctx, body, false)
+		d.metrics.report(a.Status)
 		rc.SetStatusCode(a.Status)
 		if a.Body != nil {
 			rc.SetContentType("application/cbor")
@@ -80,6 +89,8 @@
 		rc.SetStatusCode(404)
 		return
 	}
+	begun := time.Now()
+	defer func() { d.metrics.call(knownMethod(method), rc.Response.StatusCode(), time.Since(begun)) }()
 	limit := submitTimeout
 	if method == "GET" {
 		limit = pollTimeout
@@ -113,6 +124,14 @@
 	}
 }
 
+// knownMethod keeps what clients make up out of the counters' labels.
+func knownMethod(m string) string {
+	if m == "GET" || m == "POST" {
+		return m
+	}
+	return "other"
+}
+
 func (d *Daemon) ownTry(ctx context.Context, limit time.Duration, method, path string, body []byte) userapi.Answer {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -150,6 +169,8 @@
 		return a.Status, a.Body
 	case pingPath:
 		return 200, nil
+	case statusPath:
+		return 200, d.status(time.Now()).encode()
 	}
 	if ref, ok := strings.CutPrefix(path, viewPath); ok {
 		v, ok := d.View(ref)
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"gingertally/internal/core/fleet"
+)
+
+// metrics are a node's counters and histograms, on /metrics.
+type metrics struct {
+	handler  fasthttp.RequestHandler
+	reports  *prometheus.CounterVec
+	commands [3]prometheus.Counter
+	calls    *prometheus.CounterVec
+	callTime *prometheus.HistogramVec
+	round    prometheus.Histogram
+	store    *prometheus.CounterVec
+	leading  prometheus.Gauge
+	term     prometheus.Gauge
+}
+
+// Buckets from 1 ms to 8 s; a user waits 5 s at the most.
+var latencies = prometheus.ExponentialBuckets(0.001, 2, 14)
+
+func newMetrics() *metrics {
+	reg := prometheus.NewRegistry()
+	m := &metrics{
+		reports: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gingertally_reports_total",
+			Help: "Workers' reports, by the status of the answer."}, []string{"status"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gingertally_user_calls_total",
+			Help: "Users' calls, by method and status of the answer."}, []string{"method", "status"}),
+		callTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "gingertally_user_call_seconds",
+			Help: "How long users' calls took.", Buckets: latencies}, []string{"method"}),
+		round: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "gingertally_round_seconds",
+			Help: "How long ticks with their rounds of decisions took.", Buckets: latencies}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gingertally_store_answers_total",
+			Help: "Answers of the state service, by whether the request was served."}, []string{"served"}),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{Name: "gingertally_leading", Help: "1 while this node leads."}),
+		term:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "gingertally_term", Help: "The last term that this node led in."}),
+	}
+	commands := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gingertally_commands_total",
+		Help: "Commands given in answer to reports."}, []string{"command"})
+	for op, name := range map[fleet.Op]string{fleet.Start: "start", fleet.Stop: "stop", fleet.Forget: "forget"} {
+		m.commands[op] = commands.WithLabelValues(name)
+	}
+	reg.MustRegister(m.reports, m.calls, m.callTime, m.round, m.store, m.leading, m.term, commands)
+	m.handler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	return m
+}
+
+func (m *metrics) report(status int) { m.reports.WithLabelValues(strconv.Itoa(status)).Inc() }
+
+func (m *metrics) call(method string, status int, took time.Duration) {
+	m.calls.WithLabelValues(method, strconv.Itoa(status)).Inc()
+	m.callTime.WithLabelValues(method).Observe(took.Seconds())
+}
+
+func (m *metrics) told(cmds []fleet.Command) {
+	for _, c := range cmds {
+		m.commands[c.Op].Inc()
+	}
+}
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -36,8 +36,11 @@
 func (d *Daemon) elected(ctx context.Context, t leadership.Term) {
 	go func() {
 		r := &reign{d: d, ctx: ctx, term: t, wake: make(chan struct{}, 1)}
+		d.metrics.leading.Set(1)
+		d.metrics.term.Set(float64(t.N))
 		err := r.run()
 		d.reign.CompareAndSwap(r, nil)
+		d.metrics.leading.Set(0)
 		slog.Info("reign over", "term", t.N, "reason", err)
 	}()
 }
@@ -176,7 +179,9 @@
 }
 
 func (r *reign) decide() {
-	end := time.Now().Add(r.d.op.RoundBudget)
+	begun := time.Now()
+	end := begun.Add(r.d.op.RoundBudget)
+	defer func() { r.d.metrics.round.Observe(time.Since(begun).Seconds()) }()
 	r.step(core.Tick{Spent: func() bool { return time.Now().After(end) }})
 }
 
@@ -322,6 +327,7 @@
 	if eff.Reply == nil || !r.entitled() {
 		return core.Reply{}, false
 	}
+	r.d.metrics.told(eff.Reply.Commands)
 	return *eff.Reply, true
 }
 
