--- a/internal/core/placement/preempt.go
+++ b/internal/core/placement/preempt.go
@@ -29,6 +29,10 @@
 
 func (f spare) fits(sp *pipeline.Spec) bool { return HowMany(f.cpus, f.gpus, f.mem, sp) > 0 }
 
+// endsLate is how much later than expected the last of what occupies a place may
+// end: room is made in time rather than hoped for until it is too late.
+const endsLate = 20 * time.Second
+
 // wait is called for a job that has no room now for n tasks at once: room that
 // is coming is kept for it, and if that comes too late, room is made by stopping
 // what may be stopped. Each round does so for a few jobs, the first in the order.
@@ -39,7 +43,7 @@
 	}
 	b.Waits--
 	places, at := b.soonest(j, n, zones)
-	if len(places) < n || at.After(b.Due(j)) {
+	if len(places) < n || at.After(b.Due(j).Add(-endsLate)) {
 		if preempts && b.makeRoom(j, n, zones) {
 			return
 		}
