--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -19,7 +19,7 @@
 )
 
 // version of the program.
-const version = "0.1.0"
+const version = "0.2.0"
 
 type cli struct {
 	Serve       serveCmd       `cmd:"" default:"withargs" help:"Run a controller with the platform's settings file."`
