--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -252,7 +252,7 @@
 			next = m.LastHeard.Add(e.silentAfter() + time.Millisecond)
 		}
 	}
-	if m.Sick || m.Draining || m.State() == fleet.Silent {
+	if m.Sick || m.Draining || e.deaf[m] || m.State() == fleet.Silent {
 		e.withdrawUnsent(now, m)
 	}
 	if m.State() == fleet.Live && (m.Sick || m.Draining) && m.Busy() == 0 && !e.owesForget(m) {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -301,7 +301,7 @@
 
 // mayStart tells whether a machine may be given starts.
 func (e *Engine) mayStart(m *fleet.Machine) bool {
-	return m.Confirmed && m.Known && !m.Draining && !m.Sick && !e.deaf[m] && m.State() == fleet.Live
+	return m.Confirmed && !m.Draining && !m.Sick && !e.deaf[m] && m.State() == fleet.Live
 }
 
 func (e *Engine) imageGB(ref string) float64 {
