--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -315,8 +315,10 @@
 	if !r.entitled() {
 		return core.Reply{}, false
 	}
-	r.hear()
 	eff := r.step(core.ReportIn{Report: rep})
+	if eff.Reply != nil && eff.Reply.OK {
+		r.hear() // a late copy says nothing about whom this node reaches
+	}
 	if eff.Reply != nil && eff.Reply.Hold {
 		sleep(r.ctx, holdReply)
 		if !r.entitled() {
