Deafness ends with a session that outlasts the lease; larger gangs count as older

A worker that keeps its session for longer than a lease has had answers; one ended lease alone is no proof.

Gangs count as older by 10 s for each task beyond the first.

--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -199,12 +199,12 @@
 		}
 		wait := now.Sub(j.Submitted)
 		held := j.HeldBack(e.cfg.RestartLimit)
-		if !j.Started && !held && wait > e.agesAfter(j) {
+		if !j.Started && !held && wait > agesAfter(j) {
 			most := len(j.Tasks)
 			if j.Shape == pipeline.Array {
 				most = 1 + most/agedPart
 			}
-			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted})
+			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted.Add(-gatherTime(j))})
 		}
 		size := time.Duration(float64(e.workLeft(j)) * e.cfg.Weights.SmallFirst / machines)
 		size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
@@ -241,13 +241,27 @@
 }
 
 // agesAfter is how long a job may wait for its first task before it comes ahead
-// of all others. The largest must begin within four minutes; a gang needs some
-// of that for room to be kept for it.
-func (e *Engine) agesAfter(j *pipeline.Job) time.Duration {
+// of all others: the largest must begin within four minutes.
+func agesAfter(j *pipeline.Job) time.Duration {
 	if j.Shape == pipeline.Gang && len(j.Tasks) > 1 {
-		return 40 * time.Second
+		return max(gangAges-gatherTime(j), 0)
 	}
-	return 150 * time.Second
+	return jobAges
+}
+
+const (
+	jobAges    = 150 * time.Second
+	gangAges   = 100 * time.Second
+	gatherEach = 10 * time.Second
+)
+
+// gatherTime is by how much a gang counts as older than it is: the more places it
+// needs at once, the longer they take to come together.
+func gatherTime(j *pipeline.Job) time.Duration {
+	if j.Shape != pipeline.Gang {
+		return 0
+	}
+	return time.Duration(len(j.Tasks)-1) * gatherEach
 }
 
 // How size counts against a job: Weights.SmallFirst seconds for each second of a
--- a/internal/core/fleet/hearing.go
+++ b/internal/core/fleet/hearing.go
@@ -8,6 +8,7 @@
 type Deafness struct {
 	Told  bool      // the last answer asked for something that the next report must show
 	Since time.Time // the first of the present run of unheeded answers; zero: none
+	Last  time.Time // the last of them
 	Count int       // how many answers in a row were not heeded
 }
 
@@ -19,10 +20,17 @@
 	if d.Since.IsZero() {
 		d.Since = now
 	}
+	d.Last = now
 	d.Count++
 	d.Told = false
 }
 
+// Over tells whether a worker that still is in the session it was in must have
+// had an answer since: its lease would otherwise have ended.
+func (d *Deafness) Over(now time.Time, lease time.Duration) bool {
+	return d.Count > 0 && now.Sub(d.Last) > lease+lease/500+2*time.Second
+}
+
 // Regress watches reports that are older than the newest one known: late copies
 // of old ones, or a machine whose worker has started anew and counts from one.
 type Regress struct {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -107,9 +107,9 @@
 
 // judgeHearing looks for traces of what the machine was last told.
 func (e *Engine) judgeHearing(now time.Time, m *fleet.Machine, r *fleet.Report, leaseEnded bool) {
-	heeded, ignored := false, leaseEnded
+	heeded, ignored := r.Session == m.Session && m.Deaf.Over(now, e.cfg.Lease), leaseEnded
 	if m.Deaf.Told {
-		heeded, ignored = r.Token == e.term, ignored || r.Token != e.term
+		heeded, ignored = heeded || r.Token == e.term, ignored || r.Token != e.term
 	}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -140,7 +140,7 @@
 		m.Deaf.Ignored(now)
 		m.HoldUntil = now.Add(deafPause)
 		e.touch(m)
-		if m.Deaf.Count > 1 || leaseEnded {
+		if m.Deaf.Count > 1 {
 			e.deaf[m] = true
 			e.watch.set(m, now)
 		}
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -427,6 +427,33 @@
 	t.Fatal("kept although it hears nothing")
 }
 
+// A machine that seemed deaf and keeps its session for longer than a lease must
+// have had answers: six such machines, idle, were once kept and never used again.
+func TestDeafnessEnds(t *testing.T) {
+	b, _ := started(t)
+	names := []string{"m-1", "m-2", "m-3", "m-4"}
+	for _, m := range names[1:] {
+		b.up(m)
+	}
+	for _, m := range names {
+		b.e.machines[m].Deaf = fleet.Deafness{Since: b.now, Last: b.now, Count: 2}
+		b.e.deaf[b.e.machines[m]] = true // so many that none is given back
+	}
+	b.e.Step(b.now, JobStored{job("j-2", 32)})
+	used := map[string]bool{}
+	for range 25 {
+		b.pass(3*time.Second, true)
+		for _, m := range names {
+			used[m] = used[m] || len(starts(b.report(m, 2))) > 0
+		}
+	}
+	for _, m := range names {
+		if !used[m] {
+			t.Errorf("%s is never used again", m)
+		}
+	}
+}
+
 // When all machines seem to hear nothing, it is this node that isn't heard, and
 // giving the machines back would end all work.
 func TestDeafnessOfAllIsOurs(t *testing.T) {
