--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -430,12 +430,10 @@
 // A machine that seemed deaf and keeps its session for longer than a lease must
 // have had answers: six such machines, idle, were once kept and never used again.
 func TestDeafnessEnds(t *testing.T) {
-	b, _ := started(t)
+	b := newBench(t, 2, Snapshot{})
 	names := []string{"m-1", "m-2", "m-3", "m-4"}
-	for _, m := range names[1:] {
-		b.up(m)
-	}
 	for _, m := range names {
+		b.up(m)
 		b.e.machines[m].Deaf = fleet.Deafness{Since: b.now, Last: b.now, Count: 2}
 		b.e.deaf[b.e.machines[m]] = true // so many that none is given back
 	}
