--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,9 +47,8 @@
 	catalog atomic.Pointer[placement.Catalog]
 	health  *health.Tracker
 	metrics *metrics
-	// nobodyUntil is until when no other node is asked to serve users' calls.
-	nobodyUntil atomic.Int64
-	started     time.Time
+	passer  passer
+	started time.Time
 }
 
 // Parts of the outside services' rates: the leader's writes may use leadPart of
@@ -107,6 +106,8 @@
 	if d.peers, err = peer.NewClient(cfg.Member, addrs); err != nil {
 		return nil, err
 	}
+	d.passer.peers = d.peers
+	d.passer.answered = func() { d.health.PeerAnswered(time.Now()) }
 	d.lead = leadership.New(d.store, leadership.Options{Member: cfg.Member, TTL: leaseTTL,
 		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf}})
 	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams}
--- a/internal/daemon/elsewhere.go
+++ b/internal/daemon/elsewhere.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"gingertally/internal/leadership"
@@ -43,24 +44,35 @@
 	body   []byte
 }
 
+// relayer carries a call to another node.
+type relayer interface {
+	Relay(ctx context.Context, to, method, path string, body []byte) (status int, reply []byte, err error)
+}
+
+// passer passes calls on to the other nodes.
+type passer struct {
+	peers       relayer
+	answered    func()       // another node has answered
+	nobodyUntil atomic.Int64 // until when none is asked, in Unix nanoseconds
+}
+
 // elsewhere asks the other nodes to serve a call, one a little after the other,
 // and takes the first answer that settles it. When none could a moment ago, as in
 // an outage that all see, they aren't asked.
-func (d *Daemon) elsewhere(ctx context.Context, method, path string, body []byte) (int, []byte, bool) {
-	if time.Now().UnixNano() < d.nobodyUntil.Load() {
+func (p *passer) elsewhere(ctx context.Context, names []string, method, path string, body []byte) (int, []byte, bool) {
+	if time.Now().UnixNano() < p.nobodyUntil.Load() {
 		return 0, nil, false
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	body = append([]byte(nil), body...)
-	names := d.peersFirst()
 	answers := make(chan passed, len(names))
 	ask := func(name string) {
-		status, reply, err := d.peers.Relay(ctx, name, method, path, body)
+		status, reply, err := p.peers.Relay(ctx, name, method, path, body)
 		if err != nil {
 			status = 503
 		} else {
-			d.health.PeerAnswered(time.Now())
+			p.answered()
 		}
 		answers <- passed{status, reply}
 	}
@@ -86,7 +98,7 @@
 			}
 		}
 	}
-	d.nobodyUntil.Store(time.Now().Add(nobodyFor).UnixNano())
+	p.nobodyUntil.Store(time.Now().Add(nobodyFor).UnixNano())
 	return 0, nil, false
 }
 
--- /dev/null
+++ b/internal/daemon/elsewhere_test.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// nodes answers for the other nodes by name; one that isn't named hangs.
+type nodes struct {
+	status map[string]int
+	asked  atomic.Int32
+}
+
+func (n *nodes) Relay(ctx context.Context, to, _, _ string, _ []byte) (int, []byte, error) {
+	n.asked.Add(1)
+	if st, ok := n.status[to]; ok {
+		if st == 0 {
+			return 0, nil, errors.New("refused")
+		}
+		return st, []byte(to), nil
+	}
+	<-ctx.Done()
+	return 0, nil, ctx.Err()
+}
+
+// A call that a node can't serve is passed on within the time that its user
+// waits, however many other nodes hang: asked one after the other for a second
+// each, seven nodes once took longer than the two seconds of a poll.
+func TestElsewhereIsBounded(t *testing.T) {
+	names := []string{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"}
+	for _, c := range []struct {
+		name   string
+		status map[string]int
+		want   int // 0: nobody
+		within time.Duration
+		asked  int32
+	}{
+		{"the first serves", map[string]int{"n-1": 200}, 200, 0, 1},
+		{"all but the last hang", map[string]int{"n-6": 404}, 404, 5 * nextPeer, 6},
+		{"refused, then served", map[string]int{"n-1": 0, "n-2": 0, "n-3": 200}, 200, 0, 3},
+		{"all hang", nil, 0, pollTimeout, 6},
+		{"an outage", map[string]int{"n-1": 503, "n-2": 503, "n-3": 503, "n-4": 503, "n-5": 503, "n-6": 503}, 0, 0, 6},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			n := &nodes{status: c.status}
+			p := &passer{peers: n, answered: func() {}}
+			ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+			defer cancel()
+			begun := time.Now()
+			status, _, ok := p.elsewhere(ctx, names, "GET", runsPath+"/j-1", nil)
+			if ok != (c.want != 0) || status != c.want || time.Since(begun) > c.within || n.asked.Load() != c.asked {
+				t.Errorf("%s: %d, %v after %s, %d asked", c.name, status, ok, time.Since(begun), n.asked.Load())
+			}
+		})
+	}
+}
+
+// In an outage that all see, the nodes don't go on asking each other for each
+// call of each user.
+func TestElsewhereGivesTheOthersARest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &nodes{status: map[string]int{"n-1": 503}}
+		p := &passer{peers: n, answered: func() {}}
+		ask := func() { p.elsewhere(context.Background(), []string{"n-1"}, "GET", runsPath+"/j-1", nil) }
+		ask()
+		ask()
+		if n.asked.Load() != 1 {
+			t.Errorf("asked %d times at once", n.asked.Load())
+		}
+		time.Sleep(nobodyFor)
+		ask()
+		if n.asked.Load() != 2 {
+			t.Errorf("asked %d times after a rest", n.asked.Load())
+		}
+	})
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -109,7 +109,7 @@
 	}
 	a := d.ownTry(ctx, own, method, path, body)
 	if a.Status == 503 {
-		if status, reply, ok := d.elsewhere(ctx, method, path, body); ok {
+		if status, reply, ok := d.passer.elsewhere(ctx, d.peersFirst(), method, path, body); ok {
 			rc.SetStatusCode(status)
 			rc.SetContentType("application/cbor")
 			rc.SetBody(reply)
