--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -23,7 +23,7 @@
 
 // status tells of this node, and of the deployment if it leads.
 func (d *Daemon) status(now time.Time) Status {
-	s := Status{Node: d.cfg.Member, Role: d.lead.Role().String(), Leader: d.lead.Leader(), Serves: d.health.Serves(now)}
+	s := Status{Node: d.cfg.Member, Role: d.lead.Role().String(), Leader: d.lead.Leader(), Serves: d.healthz() == 200}
 	if r := d.reign.Load(); r != nil && r.entitled() {
 		r.mu.Lock()
 		st := r.eng.Status(now)
