--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -248,8 +248,11 @@
 	case fleet.Live, fleet.Silent, fleet.Unheard:
 		e.watchSilence(now, m)
 		e.watchDeaf(now, m)
-		if m.State() == fleet.Live && !m.Sick && !m.Draining && !e.deaf[m] {
+		switch {
+		case m.State() == fleet.Live && !m.Sick && !m.Draining && !e.deaf[m]:
 			next = m.LastHeard.Add(e.silentAfter() + time.Millisecond)
+		case m.State() == fleet.Silent && len(m.Tasks) == 0:
+			next = now.Add(time.Second)
 		}
 	}
 	if m.Sick || m.Draining || e.deaf[m] || m.State() == fleet.Silent {
@@ -334,11 +337,24 @@
 			e.lost(now, m, a, "lease over")
 		}
 	}
-	if quiet > e.cfg.Lease {
+	if quiet > e.keepSilent(m) {
 		e.release(now, m, fmt.Sprintf("silent for %s", quiet.Round(time.Second)))
 	}
 }
 
+// keepSilent is how long a machine is kept that doesn't report but stays listed:
+// beyond its worker's lease, which ends all on it, for about as long as another
+// would take to be of use. A zone that is cut off, or many machines that hang,
+// mostly come back sooner, with their images; and while they are away, what waits
+// is placed and rented for elsewhere.
+func (e *Engine) keepSilent(m *fleet.Machine) time.Duration {
+	boot := time.Minute
+	if t := e.catalog[m.Type]; t != nil {
+		boot = t.Boot
+	}
+	return e.cfg.Lease + 2*boot
+}
+
 // HasLive tells whether any machine is up as far as is known.
 func (e *Engine) HasLive() bool {
 	for _, m := range e.machines {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -73,8 +73,8 @@
 	anew := r.Token > m.Token && (r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq)
 	newSession := r.Session > m.Session || anew
 	was, quiet := m.State(), now.Sub(m.LastHeard)
-	if was == fleet.Booting {
-		m.IdleSince = now
+	if was == fleet.Booting || was == fleet.Silent {
+		m.IdleSince = now // it couldn't be used before
 	}
 	if was != fleet.Releasing && e.moveMachine(now, m, fleet.Live) {
 		e.note("machine live", "machine", m.Name, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "was", was.String(), "after", now.Sub(m.FirstSeen))
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -245,6 +245,7 @@
 // machine that stays silent with one of them is released in time.
 func TestCancelIsFinalAndInTime(t *testing.T) {
 	b, c := started(t)
+	b.e.cfg.Lease = 2 * b.e.cfg.CancelWithin // the lease proves the task gone too late
 	b.report("m-1", 2, running(c))
 	at := b.now
 	cancelled := job("j-1", 1)
--- /dev/null
+++ b/internal/core/silence_test.go
@@ -0,0 +1,44 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// A zone cut off for longer than its workers' lease once cost all its machines,
+// released seconds before they came back, and then their boots and images. Their
+// work goes on elsewhere, but they are kept for about as long as others would
+// take, and when they are back they count as idle from then.
+func TestSilentMachinesAreKept(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	silent := b.now
+	lease, kept := b.e.cfg.Lease, b.e.keepSilent(b.e.machines["m-1"])
+	for b.now.Sub(silent) < lease+5*time.Second {
+		b.now = b.now.Add(time.Second)
+		if eff := b.e.Step(b.now, Tick{}); len(eff.Release) > 0 {
+			t.Fatalf("released after %s", b.now.Sub(silent))
+		}
+	}
+	if n := b.e.machines["m-1"].Busy(); n != 0 {
+		t.Fatalf("%d tasks counted as there after the lease", n)
+	}
+	seq := b.seq["m-1"] + 1
+	if r := b.worker("m-1", 2, 2, seq); !r.OK {
+		t.Fatal("a machine that is back isn't answered")
+	}
+	for range 3 {
+		b.now = b.now.Add(time.Second)
+		if eff := b.e.Step(b.now, Tick{}); len(eff.Release) > 0 {
+			t.Fatal("released as idle as soon as it was back")
+		}
+	}
+	again := b.now
+	for b.now.Sub(again) < kept+10*time.Second {
+		b.now = b.now.Add(time.Second)
+		if eff := b.e.Step(b.now, Tick{}); len(eff.Release) > 0 {
+			return
+		}
+	}
+	t.Fatal("a machine that stays silent is kept for good")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 	for _, t := range p.Teams {
 		d.core.Teams[t.Name] = placement.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
 	}
-	conns := max(8, min(64, p.Resources.MaxSockets/20))
+	conns := storeConns(p.Resources.MaxSockets)
 	nodes := float64(len(cfg.Peers) + 1)
 	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
 		Requests: p.State.RPS * userPart * 2 / nodes, Writes: max(leastWrites, p.State.WriteRPS*userPart/nodes),
@@ -133,6 +133,21 @@
 	return out
 }
 
+// storeConns is how many connections a node opens to the state service at the most.
+func storeConns(maxSockets int) int { return max(8, min(64, maxSockets/20)) }
+
+// otherConns is room for what this node opens besides, or holds apart from its
+// clients' connections: watches, the cloud, listeners, and some on their way out.
+const otherConns = 40
+
+// clientConns is how many connections of workers and users a node serves at once:
+// all that its sockets allow beside its own. A leader has one of every worker.
+func (d *Daemon) clientConns() int {
+	most := d.cfg.Params.Resources.MaxSockets
+	own := storeConns(most) + maxOrders + 2*len(d.cfg.Peers) + otherConns
+	return max(64, most-own)
+}
+
 // Run serves until ctx ends or something that can't be repaired fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(d.cfg.Params.Resources.MemoryMB * 0.6 * (1 << 20)))
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -31,13 +31,23 @@
 	ownTryInTrouble = 300 * time.Millisecond
 )
 
+// idleReports is for how many report periods a connection may be idle: those of
+// machines that are gone without a word must not take the sockets of others.
+const idleReports = 4
+
 func (d *Daemon) serveHTTP(ctx context.Context, ln net.Listener) error {
-	s := &fasthttp.Server{
-		Handler:               func(rc *fasthttp.RequestCtx) { d.handle(ctx, rc) },
+	var s *fasthttp.Server
+	s = &fasthttp.Server{
+		Handler: func(rc *fasthttp.RequestCtx) {
+			d.handle(ctx, rc)
+			if crowded(int(s.GetOpenConnectionsCount()), s.Concurrency) && string(rc.Path()) != beatPath {
+				rc.SetConnectionClose()
+			}
+		},
 		MaxRequestBodySize:    wire.MaxBody,
-		Concurrency:           max(64, d.cfg.Params.Resources.MaxSockets*3/4),
-		IdleTimeout:           2 * time.Minute,
-		ReadTimeout:           2 * time.Minute,
+		Concurrency:           d.clientConns(),
+		IdleTimeout:           idleReports*d.core.ReportEvery + 10*time.Second,
+		ReadTimeout:           30 * time.Second,
 		WriteTimeout:          10 * time.Second,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -52,6 +62,10 @@
 	return nil
 }
 
+// crowded tells whether what is left of a node's connections is wanted by workers:
+// users' are then closed once answered, and spread over the other nodes.
+func crowded(open, most int) bool { return open > most*9/10 }
+
 // quiet drops fasthttp's lines about broken connections, which are the peers' affair.
 type quiet struct{}
 
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -24,9 +24,10 @@
 	rate       float64 // of its steady clock
 	life       int     // rises with each end of the process
 	down       bool
-	noStore    bool // cut off from the state service
-	noWorkers  bool // cut off from the workers
-	noPeers    bool // cut off from the other controllers
+	stillUntil time.Time // stands still until then, its clocks running on
+	noStore    bool      // cut off from the state service
+	noWorkers  bool      // cut off from the workers
+	noPeers    bool      // cut off from the other controllers
 	eng        *core.Engine
 	term       leadership.Term
 	lease      int // the lease that its right stands on
@@ -60,7 +61,7 @@
 
 // reaches tells whether another controller can be reached from here.
 func (n *node) reaches(o *node) bool {
-	return !n.down && !o.down && !n.noPeers && !o.noPeers && !n.w.peersRefuse && n.w.reach(n.zone, o.zone)
+	return !n.down && !o.down && !n.still() && !o.still() && !n.noPeers && !o.noPeers && !n.w.peersRefuse && n.w.reach(n.zone, o.zone)
 }
 
 // keepContact notes whom this node reaches.
@@ -81,15 +82,29 @@
 
 func (n *node) loop(life int, every time.Duration, fn func()) {
 	n.w.after(n.w.between(every/2, every), func() {
-		if n.life == life && !n.down {
+		n.run(life, func() {
 			fn()
 			n.loop(life, every, fn)
-		}
+		})
 	})
 }
 
+// run has a life of the process do something: at once, or, if it stands still,
+// when it goes on.
+func (n *node) run(life int, fn func()) {
+	switch {
+	case n.life != life || n.down:
+	case n.still():
+		n.w.after(n.stillUntil.Sub(n.w.now)+n.w.between(0, 50*time.Millisecond), func() { n.run(life, fn) })
+	default:
+		fn()
+	}
+}
+
+func (n *node) still() bool { return n.w.now.Before(n.stillUntil) }
+
 func (n *node) crash(back time.Duration) {
-	n.down, n.eng = true, nil
+	n.down, n.eng, n.stillUntil = true, nil, time.Time{}
 	n.life++
 	n.w.after(back, n.boot)
 }
@@ -115,11 +130,7 @@
 	w.after(there, func() {
 		at()
 		if !lost {
-			w.after(back, func() {
-				if n.life == life && !n.down {
-					answer()
-				}
-			})
+			w.after(back, func() { n.run(life, answer) })
 		}
 	})
 }
@@ -217,6 +228,9 @@
 }
 
 func (n *node) step(ev core.Event) core.Effects {
+	if n.still() {
+		n.w.check.fail("%s acts while it stands still", n.name)
+	}
 	eff := n.eng.Step(n.local(), ev)
 	if n.w.Trace != nil {
 		for _, x := range eff.Notes {
@@ -271,10 +285,12 @@
 	})
 	life := n.life
 	n.w.after(callTimeout, func() {
-		if !answered && n.life == life && n.eng == eng {
-			answered = true
-			n.written(batch, batch, 0, statestore.ErrUnknown)
-		}
+		n.run(life, func() {
+			if !answered && n.eng == eng {
+				answered = true
+				n.written(batch, batch, 0, statestore.ErrUnknown)
+			}
+		})
 	})
 }
 
@@ -338,14 +354,17 @@
 
 // watched brings a change to a leader, once the state service can be reached.
 func (w *World) watched(n *node, eng *core.Engine, ref string, in time.Duration) {
+	life := n.life
 	w.after(in, func() {
-		switch {
-		case n.eng != eng:
-		case n.cutOff() || w.store.down:
-			w.watched(n, eng, ref, time.Second)
-		default:
-			n.refresh(ref)
-		}
+		n.run(life, func() {
+			switch {
+			case n.eng != eng:
+			case n.cutOff() || w.store.down:
+				w.watched(n, eng, ref, time.Second)
+			default:
+				n.refresh(ref)
+			}
+		})
 	})
 }
 
@@ -356,51 +375,52 @@
 	eng := n.eng
 	list, ok := n.w.cloud.list()
 	ok = ok && n.w.reach("", n.zone)
+	life := n.life
 	n.w.after(n.w.between(50*time.Millisecond, 300*time.Millisecond), func() {
-		if ok && n.eng == eng && n.entitled() {
-			n.step(core.Listed{Machines: list})
-		}
+		n.run(life, func() {
+			if ok && n.eng == eng && n.entitled() {
+				n.step(core.Listed{Machines: list})
+			}
+		})
 	})
 }
 
 func (n *node) rent(r core.Rent) {
-	eng := n.eng
+	told := n.teller()
 	n.w.after(n.w.between(50*time.Millisecond, 300*time.Millisecond), func() {
 		if !n.w.reach("", n.zone) {
-			n.w.after(4*time.Second, func() {
-				if n.eng == eng && n.eng != nil {
-					n.step(core.Rented{Rent: r, Unknown: true})
-				}
-			})
+			n.w.after(4*time.Second, func() { told(core.Rented{Rent: r, Unknown: true}) })
 			return
 		}
 		names, refused, ok := n.w.cloud.rent(r)
 		lost := n.w.o.Faults && !n.w.noNet && n.w.chance(0.1)
-		if n.eng == eng && n.eng != nil {
-			n.step(core.Rented{Rent: r, Machines: names, Refused: refused, Unknown: !ok || lost})
-		}
+		told(core.Rented{Rent: r, Machines: names, Refused: refused, Unknown: !ok || lost})
 	})
 }
 
 func (n *node) release(names []string) {
-	eng := n.eng
+	told := n.teller()
 	delay := n.w.between(50*time.Millisecond, 300*time.Millisecond)
 	if n.w.o.Faults && !n.w.noNet && (n.w.chance(0.05) || !n.w.reach("", n.zone)) {
 		// The answer is lost, and the deletion happens at some later time.
 		n.w.after(n.w.between(time.Second, 20*time.Second), func() { n.w.cloud.release(names) })
-		n.w.after(4*time.Second, func() {
+		n.w.after(4*time.Second, func() { told(core.Released{Machines: names}) })
+		return
+	}
+	n.w.after(delay, func() { told(core.Released{Machines: names, OK: n.w.cloud.release(names)}) })
+}
+
+// teller is how an answer of the cloud reaches the engine that asked, if that
+// still leads.
+func (n *node) teller() func(core.Event) {
+	eng, life := n.eng, n.life
+	return func(ev core.Event) {
+		n.run(life, func() {
 			if n.eng == eng && n.eng != nil {
-				n.step(core.Released{Machines: names})
+				n.step(ev)
 			}
 		})
-		return
 	}
-	n.w.after(delay, func() {
-		ok := n.w.cloud.release(names)
-		if n.eng == eng && n.eng != nil {
-			n.step(core.Released{Machines: names, OK: ok})
-		}
-	})
 }
 
 // report serves a worker's report that has arrived; relayed ones come from
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -41,6 +41,25 @@
 	}
 }
 
+// TestManyFallTogether plays worlds in which, on top of all other troubles, many
+// machines stop, hang, start anew or go deaf at once, with the leader or all
+// controllers, and controllers stand still with their clocks running on.
+func TestManyFallTogether(t *testing.T) {
+	started, done := 0, 0
+	for seed := range uint64(80) {
+		o := options(3000+seed, seed%4 != 0)
+		o.Falls, o.Jobs = true, 20
+		w := NewWorld(o)
+		if err := w.Run(); err != nil {
+			t.Error(err)
+		}
+		started, done = started+w.Started(), done+w.Done()
+	}
+	if started < 4000 || done < 900 {
+		t.Errorf("the worlds did too little to prove anything: %d starts, %d jobs done", started, done)
+	}
+}
+
 // TestSeed plays the one world of TestTroubles that STANDIN_SEED names, and
 // logs what its controllers say.
 func TestSeed(t *testing.T) {
@@ -48,7 +67,11 @@
 	if err != nil {
 		t.Skip("STANDIN_SEED names no seed")
 	}
-	w := NewWorld(options(seed, true))
+	o := options(seed, true)
+	if o.Falls = os.Getenv("STANDIN_FALLS") != ""; o.Falls {
+		o.Jobs = 20
+	}
+	w := NewWorld(o)
 	w.Trace = func(at time.Duration, node, text string, args []any) {
 		t.Log(at.Seconds(), node, text, args)
 	}
@@ -67,7 +90,9 @@
 	for seed := range n {
 		t.Run(strconv.FormatUint(10_000+seed, 10), func(t *testing.T) {
 			t.Parallel()
-			if err := NewWorld(options(10_000+seed, true)).Run(); err != nil {
+			o := options(10_000+seed, true)
+			o.Falls = os.Getenv("STANDIN_FALLS") != ""
+			if err := NewWorld(o).Run(); err != nil {
 				t.Error(err)
 			}
 		})
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -106,7 +106,7 @@
 func (j *userJob) anyNode() *node {
 	var up []*node
 	for _, n := range j.w.nodes {
-		if !n.down && j.w.reach("", n.zone) && n.health.Serves(n.local()) {
+		if !n.down && !n.still() && j.w.reach("", n.zone) && n.health.Serves(n.local()) {
 			up = append(up, n)
 		}
 	}
@@ -121,7 +121,7 @@
 		j.asked = j.w.now
 	}
 	n := j.anyNode()
-	if n.down || n.cutOff() {
+	if n.down || n.still() || n.cutOff() {
 		j.w.after(time.Second, j.submit)
 		return
 	}
@@ -149,7 +149,7 @@
 
 // view is what a node tells of a job: itself, or by asking another.
 func (n *node) view(ref string) (v core.JobView, known, ok bool) {
-	if n.down || !n.w.reach("", n.zone) {
+	if n.down || n.still() || !n.w.reach("", n.zone) {
 		return v, false, false
 	}
 	if v, known, ok = n.ownView(ref); ok {
@@ -202,7 +202,7 @@
 			n = o // the leader serves cancellations
 		}
 	}
-	if n.down || n.cutOff() {
+	if n.down || n.still() || n.cutOff() {
 		j.w.after(time.Second, j.cancel)
 		return
 	}
@@ -228,10 +228,13 @@
 		}
 		j.w.check.told(j, core.JobView{Phase: st.Phase, Done: len(j.done)}, true)
 	})
+	life := n.life
 	j.w.after(callTimeout, func() {
-		if !got && eng != nil && n.eng == eng {
-			n.step(core.Doubt{Ref: j.spec.Ref})
-		}
+		n.run(life, func() {
+			if !got && eng != nil && n.eng == eng {
+				n.step(core.Doubt{Ref: j.spec.Ref})
+			}
+		})
 	})
 	j.w.after(3*time.Second, func() {
 		if j.told == pipeline.Active {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -183,24 +183,29 @@
 	}
 	life := m.life
 	w.after(delay, func() {
-		if n.down {
-			return
-		}
-		status, reply, leader := n.report(r, false)
-		if status == 421 && n.reaches(leader) && w.chance(0.2) {
-			status, reply, leader = leader.report(r, true) // passed on by the node
-		}
-		if status == 0 {
-			eng := leader.eng
-			leader.tick()
-			w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
+		n.run(n.life, func() { m.arrived(n, r, life, sent) })
+	})
+}
+
+// arrived has a node serve a report.
+func (m *machine) arrived(n *node, r fleet.Report, life int, sent time.Time) {
+	w := m.w
+	status, reply, leader := n.report(r, false)
+	if status == 421 && n.reaches(leader) && w.chance(0.2) {
+		status, reply, leader = leader.report(r, true) // passed on by the node
+	}
+	if status == 0 {
+		eng := leader.eng
+		leader.tick()
+		w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
+			leader.run(leader.life, func() {
 				status, reply := leader.collect(r, eng)
 				m.answer(n, r, life, sent, status, reply, nil)
 			})
-			return
-		}
-		m.answer(n, r, life, sent, status, reply, leader)
-	})
+		})
+		return
+	}
+	m.answer(n, r, life, sent, status, reply, leader)
 }
 
 // answer sends a node's response back, if it gets through.
@@ -209,7 +214,11 @@
 	if m.deaf || m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.01)) {
 		return
 	}
-	m.later(w.between(time.Millisecond, 30*time.Millisecond), func() {
+	delay := w.between(time.Millisecond, 30*time.Millisecond)
+	if w.falls != nil {
+		delay += w.falls.standstill() // between the check of its right and the answer
+	}
+	m.later(delay, func() {
 		if m.life == life {
 			m.response(r, sent, status, reply, leader)
 		}
@@ -221,17 +230,18 @@
 func (w *World) lateCopy(r fleet.Report) {
 	w.after(w.between(time.Second, 3*w.o.Lease), func() {
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
-		if n.down {
-			return
-		}
-		status, _, leader := n.report(r, false)
-		if status == 421 {
-			status, _, leader = leader.report(r, true)
-		}
-		if status == 0 {
-			eng := leader.eng
-			w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() { leader.collect(r, eng) })
-		}
+		n.run(n.life, func() {
+			status, _, leader := n.report(r, false)
+			if status == 421 && !leader.still() {
+				status, _, leader = leader.report(r, true)
+			}
+			if status == 0 {
+				eng := leader.eng
+				w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
+					leader.run(leader.life, func() { leader.collect(r, eng) })
+				})
+			}
+		})
 	})
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -25,6 +25,7 @@
 	Zones    int
 	Jobs     int
 	Faults   bool
+	Falls    bool // many machines fall together, and controllers stand still
 	Report   time.Duration
 	Lease    time.Duration
 	Cancel   time.Duration
@@ -58,6 +59,7 @@
 	cutZones    map[string]bool    // cut off from everything
 	apart       map[[2]string]bool // two zones that can't reach each other
 	peersRefuse bool               // connections between controllers are refused
+	falls       *falls             // nil: none
 }
 
 type event struct {
@@ -110,6 +112,9 @@
 	if o.Faults {
 		w.planFaults()
 	}
+	if o.Falls {
+		w.planFalls()
+	}
 	return w
 }
 
