--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -273,6 +273,9 @@
 	if to != fleet.Exited {
 		return
 	}
+	if was == fleet.Sent || was == fleet.Fetching {
+		m.FetchGivenUp(now, a.Image, was == fleet.Fetching)
+	}
 	delete(u.attempts, a)
 	u.zones[m.Zone]--
 	e.addUse(u.team, a, -1)
