--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 
@@ -188,8 +189,9 @@
 func (e *Engine) ranked(now time.Time) []placement.Turn {
 	type rank struct {
 		placement.Turn
-		aged, held, cold bool
-		due              time.Time
+		aged, held bool
+		cold       int
+		due        time.Time
 	}
 	machines := float64(max(e.floor.Size(), fewMachines))
 	var out []rank
@@ -210,10 +212,14 @@
 		size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
 		due := e.dueStart(now, j)
 		r := rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: due.Add(size)}
-		if j.Shape == pipeline.Array && now.Add(pressed).Before(due) && e.expectedFetch(j) > longFetch {
-			warm := r
-			warm.Warm, r.cold = true, true
+		if j.Shape == pipeline.Array && e.expectedFetch(j) > longFetch {
+			warm, first := r, r
+			warm.Warm, r.cold, first.cold = true, 2, 1
+			first.Most = e.firstWave(j, due.Sub(now)-pressed) - len(e.useOf(j.Ref).attempts)
 			out = append(out, warm)
+			if first.Most > 0 {
+				out = append(out, first)
+			}
 		}
 		out = append(out, r)
 	}
@@ -229,7 +235,7 @@
 			return a.Job.Priority < b.Job.Priority
 		}
 		if a.cold != b.cold {
-			return b.cold
+			return a.cold < b.cold
 		}
 		return a.due.Before(b.due)
 	})
@@ -240,6 +246,18 @@
 	return turns
 }
 
+// firstWave is how many places an array needs at once to have all its tasks done
+// in time one after the other: so many may fetch its image ahead of later work
+// that needs none fetched.
+func (e *Engine) firstWave(j *pipeline.Job, spare time.Duration) int {
+	run := e.expectedRun(j).Seconds()
+	if run <= 0 {
+		return len(j.Tasks)
+	}
+	left := float64(len(j.Tasks) - j.Count(pipeline.Finished))
+	return int(math.Ceil(left * run / (run + max(0, spare.Seconds()))))
+}
+
 // agesAfter is how long a job may wait for its first task before it comes ahead
 // of all others: the largest must begin within four minutes.
 func agesAfter(j *pipeline.Job) time.Duration {
