--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -201,12 +201,12 @@
 		}
 		wait := now.Sub(j.Submitted)
 		held := j.HeldBack(e.cfg.RestartLimit)
-		if !j.Started && !held && wait > agesAfter(j) {
+		if !j.Started && !held && wait > e.agesAfter(j) {
 			most := len(j.Tasks)
 			if j.Shape == pipeline.Array {
 				most = 1 + most/agedPart
 			}
-			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted.Add(-gatherTime(j))})
+			out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted.Add(-e.gatherTime(j))})
 		}
 		size := time.Duration(float64(e.workLeft(j)) * e.cfg.Weights.SmallFirst / machines)
 		size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
@@ -260,9 +260,9 @@
 
 // agesAfter is how long a job may wait for its first task before it comes ahead
 // of all others: the largest must begin within four minutes.
-func agesAfter(j *pipeline.Job) time.Duration {
+func (e *Engine) agesAfter(j *pipeline.Job) time.Duration {
 	if j.Shape == pipeline.Gang && len(j.Tasks) > 1 {
-		return max(gangAges-gatherTime(j), 0)
+		return max(gangAges-e.gatherTime(j), 0)
 	}
 	return jobAges
 }
@@ -270,16 +270,20 @@
 const (
 	jobAges    = 150 * time.Second
 	gangAges   = 100 * time.Second
-	gatherEach = 10 * time.Second
+	// for each task beyond the first in a fleet of gatherFleet machines or fewer
+	gatherEach  = 10 * time.Second
+	gatherFleet = 250
 )
 
 // gatherTime is by how much a gang counts as older than it is: the more places it
-// needs at once, the longer they take to come together.
-func gatherTime(j *pipeline.Job) time.Duration {
+// needs at once, the longer they take to come together; the less so the more
+// machines there are, since places become free on all of them.
+func (e *Engine) gatherTime(j *pipeline.Job) time.Duration {
 	if j.Shape != pipeline.Gang {
 		return 0
 	}
-	return time.Duration(len(j.Tasks)-1) * gatherEach
+	each := gatherEach * gatherFleet / time.Duration(max(gatherFleet, e.floor.Size()))
+	return time.Duration(len(j.Tasks)-1) * each
 }
 
 // How size counts against a job: Weights.SmallFirst seconds for each second of a
