--- a/internal/core/images_test.go
+++ b/internal/core/images_test.go
@@ -15,7 +15,7 @@
 	return JobStored{j}
 }
 
-// A job that is late once took places of machines that had the image of others:
+// A job that is nearly late once took places of machines that had the image of others:
 // on the fleet's rough days more than half of the places were fetching, and
 // nearly all jobs were late. Work whose image is there goes first.
 func TestPlacesGoToWorkWithItsImageThere(t *testing.T) {
@@ -35,7 +35,7 @@
 		done = append(done, fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseDone})
 	}
 	b.report("m-1", 2, tasks...)
-	b.e.Step(b.now, imageJob(b, "j-2", "y", 8, 45*time.Second)) // late
+	b.e.Step(b.now, imageJob(b, "j-2", "y", 8, 25*time.Second)) // nearly late
 	b.e.Step(b.now, imageJob(b, "j-3", "x", 8, 0))
 	b.pass(time.Second, true)
 	b.report("m-1", 2, done...)
