--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -309,13 +309,19 @@
 	}
 }
 
-// ImageThere notes that a task past its fetch was seen.
-func (m *Machine) ImageThere(now time.Time, name string) {
+// ImageThere notes that a task past its fetch was seen, perhaps one that an
+// earlier leader started. It tells whether the image is news.
+func (m *Machine) ImageThere(now time.Time, name string, gb float64) bool {
 	for i := range m.Images {
-		if m.Images[i].Name == name && m.Images[i].Ready.After(now) {
-			m.Images[i].Ready = now
+		if m.Images[i].Name == name {
+			if m.Images[i].Ready.After(now) {
+				m.Images[i].Ready = now
+			}
+			return false
 		}
 	}
+	m.Images = append(m.Images, Image{name, gb, now})
+	return true
 }
 
 // FetchGivenUp notes that a task which waited for an image is gone: a machine
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -231,8 +231,8 @@
 		return
 	}
 	e.moveAttempt(now, m, a, t.State)
-	if t.State != fleet.Fetching {
-		m.ImageThere(now, a.Image)
+	if t.State != fleet.Fetching && a.Image != "" {
+		m.ImageThere(now, a.Image, e.imageGB(a.Ref))
 	}
 	if j := e.jobs[t.Ref]; j != nil && t.State == fleet.Running {
 		j.Started = true
