--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -268,8 +268,8 @@
 }
 
 const (
-	jobAges    = 150 * time.Second
-	gangAges   = 100 * time.Second
+	jobAges  = 150 * time.Second
+	gangAges = 100 * time.Second
 	// for each task beyond the first in a fleet of gatherFleet machines or fewer
 	gatherEach  = 10 * time.Second
 	gatherFleet = 250
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -94,6 +94,7 @@
 	emptying  map[*fleet.Machine]bool
 	finals    map[string]pipeline.Final // told for good
 	writes    writeQueue
+	images    imageLog
 	classes   map[string]*classStats
 	out       Effects
 }
@@ -155,8 +156,15 @@
 
 // Snapshot is what the store held when the term was claimed.
 type Snapshot struct {
-	Jobs  []StoredJob
-	Pages []StoredPage
+	Jobs   []StoredJob
+	Pages  []StoredPage
+	Images []StoredImages
+}
+
+// StoredImages is a page of the image log.
+type StoredImages struct {
+	Name   string
+	Record fleet.ImageRecord
 }
 
 // StoredJob is a job's record with its version and further done ranges.
@@ -181,6 +189,8 @@
 		teamUse: map[string]fleet.Amount{}, changed: map[*fleet.Machine]bool{}, deaf: map[*fleet.Machine]bool{}, emptying: map[*fleet.Machine]bool{}, cancelled: map[*pipeline.Job]bool{},
 		finals: map[string]pipeline.Final{}, classes: map[string]*classStats{}, replan: true}
 	e.writes.init()
+	e.images.init()
+	e.inheritImages(snap.Images) // before the machines that it speaks of
 	for _, s := range snap.Jobs {
 		e.addJob(now, s)
 	}
@@ -274,7 +284,9 @@
 		return
 	}
 	if was == fleet.Sent || was == fleet.Fetching {
-		m.FetchGivenUp(now, a.Image, was == fleet.Fetching)
+		if m.FetchGivenUp(now, a.Image, was == fleet.Fetching) {
+			e.imagesChanged(m)
+		}
 	}
 	delete(u.attempts, a)
 	u.zones[m.Zone]--
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -326,19 +326,21 @@
 
 // FetchGivenUp notes that a task which waited for an image is gone: a machine
 // gives a fetch up that no task waits for any more. Seen tells that the task was
-// reported as fetching, so that the image wasn't there.
-func (m *Machine) FetchGivenUp(now time.Time, name string, seen bool) {
+// reported as fetching, so that the image wasn't there. It tells whether the
+// image was believed there.
+func (m *Machine) FetchGivenUp(now time.Time, name string, seen bool) bool {
 	for _, a := range m.Tasks {
 		if a.Image == name && (a.state == Sent || a.state == Fetching) {
-			return
+			return false
 		}
 	}
 	for _, i := range m.Images {
 		if i.Name == name && (seen || i.Ready.After(now)) {
 			m.DropImage(name)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // DropImage notes that an image isn't there after all.
--- a/internal/core/images_test.go
+++ b/internal/core/images_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +93,81 @@
 		t.Fatalf("%s left of a fetch that was given up", left)
 	}
 }
+
+// A new leader once knew of no image anywhere, and on a fleet whose images take
+// 40 s had them fetched all over. It learns them from what machines run, and from
+// the image log, in which those that are gone are forgotten.
+func TestImagesOutliveTheLeader(t *testing.T) {
+	b := newBench(t, 2, Snapshot{})
+	b.e.Step(b.now, imageJob(b, "j-1", "x", 1, 0))
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	c := starts(b.report("m-1", 2))[0]
+	b.report("m-1", 2, running(c))
+	var logged []StoredImages
+	for end := b.now.Add(time.Minute); b.now.Before(end); {
+		b.now = b.now.Add(time.Second)
+		b.report("m-1", 2, running(c))
+		batch := b.e.Batch(b.now, 10)
+		b.e.Step(b.now, Sending{batch})
+		for _, w := range batch {
+			if w.Kind == WriteImages {
+				logged = []StoredImages{{w.Name, w.Images}}
+			}
+		}
+		b.e.Step(b.now, Written{Batch: batch, OK: true, Version: 100})
+	}
+	if len(logged) == 0 {
+		t.Fatal("the image log isn't written")
+	}
+
+	next := newBench(t, 3, Snapshot{Images: logged})
+	next.up("m-1")
+	if left := next.e.machines["m-1"].FetchLeft(next.now, "x", 20, 1); left != 0 {
+		t.Errorf("by the image log, %s left of a fetch that is over", left)
+	}
+	next.e.Step(next.now, Released{Machines: []string{"m-1"}, OK: true})
+	next.now = next.now.Add(time.Minute)
+	if batch := next.e.Batch(next.now, 10); len(batch) != 1 || batch[0].Kind != DropImages || batch[0].Name != logged[0].Name {
+		t.Errorf("the only machine of a page is gone: %+v", batch)
+	}
+
+	j := imageJob(b, "j-1", "x", 1, 0).Job
+	other := newBench(t, 3, Snapshot{Jobs: []StoredJob{j}, Pages: []StoredPage{page("2-1", "m-1", c.Attempt)}})
+	other.report("m-1", 2, running(c))
+	if left := other.e.machines["m-1"].FetchLeft(other.now, "x", 20, 1); left != 0 {
+		t.Errorf("by a task that runs, %s left of a fetch that is over", left)
+	}
+}
+
+// A page of the image log must fit a value of the state service, which counts its
+// JSON form; one that doesn't would hold up the starts written with it.
+func TestImageRecordFits(t *testing.T) {
+	has := map[string][]fleet.Image{}
+	for m := range 100 {
+		name := fmt.Sprintf("m-%06d", m)
+		for i := range 40 {
+			has[name] = append(has[name], fleet.Image{Name: fmt.Sprintf("registry/image-%04d", m*7+i), GB: 12.345})
+		}
+	}
+	for _, most := range []int{1000, 4000, 16000} {
+		r := fleet.RecordImages(has, most)
+		var form struct {
+			Images   [][2]any `json:"i"`
+			Machines [][2]any `json:"m"`
+		}
+		for _, i := range r.Images {
+			form.Images = append(form.Images, [2]any{i.Name, i.GB})
+		}
+		for _, m := range r.Machines {
+			form.Machines = append(form.Machines, [2]any{m.Machine, m.Images})
+		}
+		text, err := json.Marshal(form)
+		if err != nil || len(text) > most {
+			t.Errorf("%d bytes where %d are allowed, %v", len(text), most, err)
+		}
+	}
+	if r := fleet.RecordImages(has, 16000); len(r.Machines) < 5 {
+		t.Errorf("only %d machines in 16,000 bytes", len(r.Machines))
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -54,6 +54,7 @@
 // addMachine takes in a machine that is new here.
 func (e *Engine) addMachine(now time.Time, m *fleet.Machine) {
 	e.machines[m.Name] = m
+	m.Images = e.imagesLeft(m.Name)
 	e.watch.set(m, now)
 	e.touch(m)
 }
@@ -179,6 +180,7 @@
 	}
 	delete(e.machines, m.Name)
 	delete(e.deaf, m)
+	e.imagesGone(m.Name)
 	e.gone[m.Name] = now
 	e.note("machine gone", "machine", m.Name)
 }
--- a/internal/core/writes.go
+++ b/internal/core/writes.go
@@ -14,12 +14,14 @@
 
 // Kinds of writes.
 const (
-	WritePage  WriteKind = iota // a page of the start log
-	DropPage                    // a page on which nothing is left
-	WriteJob                    // a job's record
-	WriteChunk                  // further done ranges of a job
-	WriteFinal                  // a job's final entry, in place of its record
-	DropChunk                   // done ranges of a job that is over
+	WritePage   WriteKind = iota // a page of the start log
+	DropPage                     // a page on which nothing is left
+	WriteJob                     // a job's record
+	WriteChunk                   // further done ranges of a job
+	WriteFinal                   // a job's final entry, in place of its record
+	DropChunk                    // done ranges of a job that is over
+	WriteImages                  // a page of the image log
+	DropImages                   // one that speaks of no machine any more
 )
 
 // Write is one change to the store. Its condition is Version (0: the key
@@ -33,6 +35,7 @@
 	Job     pipeline.Record
 	Final   pipeline.Final
 	Runs    []int
+	Images  fleet.ImageRecord
 }
 
 // chunkRef names the key of further done ranges.
@@ -92,7 +95,7 @@
 	if len(out) == 0 {
 		out = e.tidy(now, out, most)
 	}
-	return out
+	return e.imageWrite(now, out, most)
 }
 
 // pageWrites puts new attempts on pages, and writes the pages that need it.
@@ -264,6 +267,8 @@
 			if j := e.jobs[w.Name]; j != nil {
 				j.Clean(w.Chunk)
 			}
+		case WriteImages, DropImages:
+			e.imagesSent(w.Name)
 		}
 	}
 }
@@ -312,6 +317,8 @@
 		}
 	case WriteFinal:
 		e.finished(op.Name, op.Final)
+	case WriteImages, DropImages:
+		e.imagesWritten(op, true)
 	case DropChunk:
 		for i, c := range e.writes.cleanup {
 			if c.ref == op.Name && c.chunk == op.Chunk {
@@ -355,5 +362,7 @@
 			j.Touch(op.Chunk)
 			e.writes.jobChanged(j)
 		}
+	case WriteImages, DropImages:
+		e.imagesWritten(op, false)
 	}
 }
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -23,12 +23,13 @@
 )
 
 // Prefixes of keys: unfinished jobs, final entries, further done ranges, pages of
-// the start log, and the records by machine that earlier versions kept instead.
+// the start log and of the image log, and the records by machine that earlier versions kept instead.
 const (
 	JobPrefix     = "j/"
 	finalPrefix   = "f/"
 	chunkPrefix   = "d/"
 	pagePrefix    = "s/"
+	imagePrefix   = "i/"
 	machinePrefix = "m/"
 )
 
@@ -221,6 +222,10 @@
 	if err != nil {
 		return snap, 0, err
 	}
+	images, _, err := j.store.List(ctx, imagePrefix)
+	if err != nil {
+		return snap, 0, err
+	}
 	byJob := map[string]map[int][]int{}
 	for _, it := range chunks {
 		ref, num, ok := strings.Cut(strings.TrimPrefix(it.Path, chunkPrefix), "/")
@@ -249,6 +254,13 @@
 		}
 		snap.Pages = append(snap.Pages, p)
 	}
+	for _, it := range images {
+		p := core.StoredImages{Name: strings.TrimPrefix(it.Path, imagePrefix)}
+		if err := wire.Unmarshal(it.V, &p.Record); err != nil {
+			return snap, 0, fmt.Errorf("%s: %w", it.Path, err)
+		}
+		snap.Images = append(snap.Images, p)
+	}
 	for _, it := range machines {
 		p, err := oldRecord(it)
 		if err != nil {
@@ -337,6 +349,11 @@
 	case core.WriteChunk:
 		b, err := wire.Marshal(w.Runs)
 		return nil, []wire.Change{{Put: chunkKey(w), V: b}}, err
+	case core.WriteImages: // only the leader writes these, one after the other
+		b, err := wire.Marshal(w.Images)
+		return nil, []wire.Change{{Put: imagePrefix + w.Name, V: b}}, err
+	case core.DropImages:
+		return nil, []wire.Change{{Drop: imagePrefix + w.Name}}, nil
 	case core.DropChunk:
 		return nil, []wire.Change{{Drop: chunkKey(w)}}, nil
 	}
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -188,3 +188,27 @@
 		t.Error("the old record is still there")
 	}
 }
+
+// The image log comes back as it was written, and its pages can be dropped.
+func TestImageLog(t *testing.T) {
+	_, j, term := setup(t)
+	rec := fleet.RecordImages(map[string][]fleet.Image{"m-1": {{Name: "a", GB: 2.5}, {Name: "b", GB: 1}}, "m-2": {{Name: "b", GB: 1}}}, 4000)
+	if _, _, err := j.Apply(ctx, term, []core.Write{{Kind: core.WriteImages, Name: "2-9", Images: rec}}); err != nil {
+		t.Fatal(err)
+	}
+	snap, _, err := j.Snapshot(ctx)
+	if err != nil || len(snap.Images) != 1 || snap.Images[0].Name != "2-9" {
+		t.Fatalf("%+v, %v", snap.Images, err)
+	}
+	got := map[string][]fleet.Image{}
+	snap.Images[0].Record.Each(func(m string, images []fleet.Image) { got[m] = images })
+	if len(got) != 2 || len(got["m-1"]) != 2 || got["m-1"][0] != (fleet.Image{Name: "a", GB: 2.5}) || got["m-2"][0].Name != "b" {
+		t.Errorf("%+v", got)
+	}
+	if _, _, err := j.Apply(ctx, term, []core.Write{{Kind: core.DropImages, Name: "2-9"}}); err != nil {
+		t.Fatal(err)
+	}
+	if snap, _, err := j.Snapshot(ctx); err != nil || len(snap.Images) != 0 {
+		t.Errorf("after the drop: %+v, %v", snap.Images, err)
+	}
+}
