--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -34,9 +34,10 @@
 	}
 	busy := m.Busy()
 	e.hear(now, m, &rep)
-	// Room has become free: a start decided now would otherwise wait for the
-	// worker's next report.
-	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: m.Busy() < busy && e.mayStart(m)}
+	// Room has become free, or a new leader is about to place: a start decided now
+	// would otherwise wait for the worker's next report.
+	soon := m.Busy() < busy || e.fresh(now, m)
+	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: soon && e.mayStart(m)}
 	if !e.out.Reply.Hold {
 		e.out.Reply.Commands = e.commands(now, m)
 	}
@@ -54,6 +55,33 @@
 	}
 }
 
+// fresh tells whether a machine stands empty under a leader that is new itself, so
+// that much is to be placed at once, and that doesn't fall behind.
+func (e *Engine) fresh(now time.Time, m *fleet.Machine) bool {
+	return len(m.Tasks) == 0 && now.Sub(e.started) < e.cfg.ReportEvery && now.Sub(e.lastTick) < behind
+}
+
+// heldMost is how long a reply may be held in all, behind how late a tick may be
+// while replies are held.
+const (
+	heldMost = 2 * time.Second
+	behind   = 300 * time.Millisecond
+)
+
+// holdAgain tells whether a reply that was held had better be held once more: the
+// machine is still empty, or what was placed there isn't written yet.
+func (e *Engine) holdAgain(now time.Time, m *fleet.Machine) bool {
+	if !e.mayStart(m) || now.Sub(m.LastHeard) > heldMost {
+		return false
+	}
+	for _, a := range m.Tasks {
+		if a.State() == fleet.Intended {
+			return true
+		}
+	}
+	return e.fresh(now, m)
+}
+
 // Collect completes the reply to a report that was held for a moment.
 type Collect struct{ Report fleet.Report }
 
@@ -63,7 +91,10 @@
 	if m == nil || m.Session != c.Report.Session || m.Seq != c.Report.Seq {
 		return // a newer report has come; only its answer may start anything
 	}
-	e.out.Reply = &Reply{OK: true, Token: e.term, Commands: e.commands(now, m)}
+	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: e.holdAgain(now, m)}
+	if !e.out.Reply.Hold {
+		e.out.Reply.Commands = e.commands(now, m)
+	}
 }
 
 // hear takes in a report that is newer than all before it.
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -185,9 +185,9 @@
 	r.step(core.Tick{Spent: func() bool { return time.Now().After(end) }})
 }
 
-// holdReply is how long the answer to a report that freed room is held, for the
-// next round to place something there and the store to take that. Workers wait
-// 4 s for an answer.
+// holdReply is for how long at a time the answer to a report of a machine with
+// room is held, for the next round to place something there and the store to take
+// that. Workers wait 4 s for an answer.
 const holdReply = 250 * time.Millisecond
 
 // writeLoop writes what the engine has to write, one transaction at a time.
@@ -319,9 +319,8 @@
 	if eff.Reply != nil && eff.Reply.OK {
 		r.hear() // a late copy says nothing about whom this node reaches
 	}
-	if eff.Reply != nil && eff.Reply.Hold {
-		sleep(r.ctx, holdReply)
-		if !r.entitled() {
+	for eff.Reply != nil && eff.Reply.Hold {
+		if !sleep(r.ctx, holdReply) || !r.entitled() {
 			return core.Reply{}, false
 		}
 		eff = r.step(core.Collect{Report: rep})
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -447,12 +447,15 @@
 	return 503, reply, nil
 }
 
-// collect completes an answer that was held.
+// collect completes an answer that was held; status 0: it is held once more.
 func (n *node) collect(r fleet.Report, eng *core.Engine) (int, core.Reply) {
 	if !n.entitled() || n.eng != eng {
 		return 503, core.Reply{}
 	}
 	eff := n.step(core.Collect{Report: r})
+	if eff.Reply != nil && eff.Reply.Hold {
+		return 0, core.Reply{}
+	}
 	if eff.Reply == nil || !eff.Reply.OK || !n.entitled() {
 		return 503, core.Reply{}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -195,19 +195,31 @@
 		status, reply, leader = leader.report(r, true) // passed on by the node
 	}
 	if status == 0 {
-		eng := leader.eng
 		leader.tick()
-		w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
-			leader.run(leader.life, func() {
-				status, reply := leader.collect(r, eng)
-				m.answer(n, r, life, sent, status, reply, nil)
-			})
-		})
+		leader.hold(r, func(status int, reply core.Reply) { m.answer(n, r, life, sent, status, reply, nil) })
 		return
 	}
 	m.answer(n, r, life, sent, status, reply, leader)
 }
 
+// hold completes an answer a moment later, or when the leader says so.
+func (n *node) hold(r fleet.Report, answer func(int, core.Reply)) {
+	eng, life := n.eng, n.life
+	var again func()
+	again = func() {
+		n.w.after(n.w.between(50*time.Millisecond, 500*time.Millisecond), func() {
+			n.run(life, func() {
+				if status, reply := n.collect(r, eng); status == 0 {
+					again()
+				} else {
+					answer(status, reply)
+				}
+			})
+		})
+	}
+	again()
+}
+
 // answer sends a node's response back, if it gets through.
 func (m *machine) answer(n *node, r fleet.Report, life int, sent time.Time, status int, reply core.Reply, leader *node) {
 	w := m.w
@@ -236,10 +248,7 @@
 				status, _, leader = leader.report(r, true)
 			}
 			if status == 0 {
-				eng := leader.eng
-				w.after(w.between(50*time.Millisecond, 500*time.Millisecond), func() {
-					leader.run(leader.life, func() { leader.collect(r, eng) })
-				})
+				leader.hold(r, func(int, core.Reply) {})
 			}
 		})
 	})
