--- a/internal/core/images_test.go
+++ b/internal/core/images_test.go
@@ -171,3 +171,45 @@
 		t.Errorf("only %d machines in 16,000 bytes", len(r.Machines))
 	}
 }
+
+// Jobs that come just after the first reports of an idle fleet once waited for the
+// next ones, a whole report period. While a leader is new its answers to empty
+// machines wait for a moment, but not for long, and not when it falls behind.
+func TestNewLeaderHoldsAnswers(t *testing.T) {
+	b := newBench(t, 2, Snapshot{})
+	b.e.Step(b.now, Listed{}) // lists nothing yet
+	r := fleet.Report{Machine: "m-1", Addr: "m-1", Type: "big", Zone: "a", Session: 1, Seq: 1, Token: 2, Notice: -1}
+	b.e.Step(b.now, Tick{})
+	if eff := b.e.Step(b.now, ReportIn{r}); !eff.Reply.Hold {
+		t.Fatal("answered before anything can have been placed")
+	}
+	b.e.Step(b.now, imageJob(b, "j-1", "x", 1, 0))
+	reported := b.now
+	for {
+		b.pass(200*time.Millisecond, true)
+		eff := b.e.Step(b.now, Collect{r})
+		if s := starts(*eff.Reply); len(s) == 1 {
+			break
+		}
+		if !eff.Reply.Hold || b.now.Sub(reported) > 3*time.Second {
+			t.Fatalf("answered after %s without the start", b.now.Sub(reported))
+		}
+	}
+
+	idle := fleet.Report{Machine: "m-2", Addr: "m-2", Type: "big", Zone: "a", Session: 1, Seq: 1, Token: 2, Notice: -1}
+	b = newBench(t, 2, Snapshot{})
+	b.e.Step(b.now, Tick{})
+	b.e.Step(b.now, ReportIn{idle})
+	reported = b.now
+	for b.e.Step(b.now, Collect{idle}).Reply.Hold {
+		if b.pass(200*time.Millisecond, true); b.now.Sub(reported) > heldMost+time.Second {
+			t.Fatalf("held for %s; workers wait 4 s", b.now.Sub(reported))
+		}
+	}
+	b = newBench(t, 2, Snapshot{})
+	b.e.Step(b.now, Tick{})
+	b.now = b.now.Add(2 * behind)
+	if eff := b.e.Step(b.now, ReportIn{idle}); eff.Reply.Hold {
+		t.Fatal("held by a leader that falls behind")
+	}
+}
