--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -64,7 +64,7 @@
 			e.demand = append(e.demand, capacity.Demand{Job: j, Tasks: n, Zones: e.useOf(j.Ref).zones})
 		},
 		EndOf:    func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
-		Due:      func(j *pipeline.Job) time.Time { return e.dueStart(now, j) },
+		Due:      func(j *pipeline.Job) time.Time { return e.needsRoomBy(now, j) },
 		MayStop:  func(by *pipeline.Job, a *fleet.Attempt) (float64, bool) { return e.mayStop(now, by, a) },
 		Stop:     func(a *fleet.Attempt) { e.preempt(now, a) },
 		Preempts: func(by *pipeline.Job) bool { return by.Priority < lowest || teams > 1 },
@@ -201,7 +201,7 @@
 		}
 		wait := now.Sub(j.Submitted)
 		held := j.HeldBack(e.cfg.RestartLimit)
-		if !j.Started && !held && wait > e.agesAfter(j) {
+		if !held && e.aged(now, j) {
 			most := len(j.Tasks)
 			if j.Shape == pipeline.Array {
 				most = 1 + most/agedPart
@@ -258,6 +258,21 @@
 	return int(math.Ceil(left * run / (run + max(0, spare.Seconds()))))
 }
 
+// aged tells whether a job has waited so long for its first task that it comes
+// before all others.
+func (e *Engine) aged(now time.Time, j *pipeline.Job) bool {
+	return !j.Started && now.Sub(j.Submitted) > e.agesAfter(j)
+}
+
+// needsRoomBy is when a job must have room if it isn't to be late; one that has
+// waited for long is late already, whatever aim it can still keep.
+func (e *Engine) needsRoomBy(now time.Time, j *pipeline.Job) time.Time {
+	if e.aged(now, j) {
+		return now
+	}
+	return e.dueStart(now, j)
+}
+
 // agesAfter is how long a job may wait for its first task before it comes ahead
 // of all others: the largest must begin within four minutes.
 func (e *Engine) agesAfter(j *pipeline.Job) time.Duration {
