--- /dev/null
+++ b/internal/core/rank.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+)
+
+// ranked is the jobs with waiting tasks in the order in which they may choose:
+// by urgency, then by how soon they must start to keep an aim that can still be
+// kept, the small ones sooner. Jobs that keep failing come last. A job of which
+// nothing has begun for long comes before all others, if only with a few of its
+// tasks: neither urgent nor small work may starve it.
+func (e *Engine) ranked(now time.Time) []placement.Turn {
+	machines := float64(max(e.floor.Size(), fewMachines))
+	var out []rank
+	for _, j := range e.order {
+		if j.Phase() == pipeline.Active && j.Count(pipeline.Waiting) > 0 {
+			out = e.turnsOf(out, now, j, machines)
+		}
+	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].before(&out[k]) })
+	turns := make([]placement.Turn, len(out))
+	for i := range out {
+		turns[i] = out[i].Turn
+	}
+	return turns
+}
+
+// rank is a turn with what its place in the order goes by.
+type rank struct {
+	placement.Turn
+	aged, held bool
+	cold       int // 0: needs no fetch, or a short one; 1: a first wave; 2: the rest
+	due        time.Time
+}
+
+func (a *rank) before(b *rank) bool {
+	switch {
+	case a.held != b.held:
+		return b.held
+	case a.aged != b.aged:
+		return a.aged
+	case !a.aged && a.Job.Priority != b.Job.Priority:
+		return a.Job.Priority < b.Job.Priority
+	case a.cold != b.cold:
+		return a.cold < b.cold
+	}
+	return a.due.Before(b.due)
+}
+
+// turnsOf adds a job's turns. Arrays whose image is slow to fetch have three: for
+// machines that have it, for as many others as they need to be in time, and for
+// the rest. The time that a place is held for a fetch is lost to all.
+func (e *Engine) turnsOf(out []rank, now time.Time, j *pipeline.Job, machines float64) []rank {
+	wait := now.Sub(j.Submitted)
+	held := j.HeldBack(e.cfg.RestartLimit)
+	if !held && e.aged(now, j) {
+		most := len(j.Tasks)
+		if j.Shape == pipeline.Array {
+			most = 1 + most/agedPart
+		}
+		out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted.Add(-e.gatherTime(j))})
+	}
+	size := time.Duration(float64(e.workLeft(j)) * e.cfg.Weights.SmallFirst / machines)
+	size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
+	due := e.dueStart(now, j)
+	r := rank{Turn: placement.Turn{Job: j, Most: len(j.Tasks)}, held: held, due: due.Add(size)}
+	if j.Shape == pipeline.Array && e.expectedFetch(j) > longFetch {
+		warm, first := r, r
+		warm.Warm, r.cold, first.cold = true, 2, 1
+		first.Most = e.firstWave(j, due.Sub(now)-spareTime) - len(e.useOf(j.Ref).attempts)
+		out = append(out, warm)
+		if first.Most > 0 {
+			out = append(out, first)
+		}
+	}
+	return append(out, r)
+}
+
+// firstWave is how many places an array needs at once to have all its tasks done
+// in time one after the other: so many may fetch its image ahead of later work
+// that needs none fetched.
+func (e *Engine) firstWave(j *pipeline.Job, spare time.Duration) int {
+	run := e.expectedRun(j).Seconds()
+	if run <= 0 {
+		return len(j.Tasks)
+	}
+	left := float64(len(j.Tasks) - j.Count(pipeline.Finished))
+	return int(math.Ceil(left * run / (run + max(0, spare.Seconds()))))
+}
+
+// aged tells whether a job has waited so long for its first task that it comes
+// before all others.
+func (e *Engine) aged(now time.Time, j *pipeline.Job) bool {
+	return !j.Started && now.Sub(j.Submitted) > e.agesAfter(j)
+}
+
+// needsRoomBy is when a job must have room if it isn't to be late; one that has
+// waited for long is late already, whatever aim it can still keep.
+func (e *Engine) needsRoomBy(now time.Time, j *pipeline.Job) time.Time {
+	if e.aged(now, j) {
+		return now
+	}
+	return e.dueStart(now, j)
+}
+
+// agesAfter is how long a job may wait for its first task before it comes ahead
+// of all others: the largest must begin within four minutes.
+func (e *Engine) agesAfter(j *pipeline.Job) time.Duration {
+	if j.Shape == pipeline.Gang && len(j.Tasks) > 1 {
+		return max(gangAges-e.gatherTime(j), 0)
+	}
+	return jobAges
+}
+
+const (
+	jobAges  = 150 * time.Second
+	gangAges = 100 * time.Second
+	// for each task beyond the first in a fleet of gatherFleet machines or fewer
+	gatherEach  = 10 * time.Second
+	gatherFleet = 250
+)
+
+// gatherTime is by how much a gang counts as older than it is: the more places it
+// needs at once, the longer they take to come together; the less so the more
+// machines there are, since places become free on all of them.
+func (e *Engine) gatherTime(j *pipeline.Job) time.Duration {
+	if j.Shape != pipeline.Gang {
+		return 0
+	}
+	each := gatherEach * gatherFleet / time.Duration(max(gatherFleet, e.floor.Size()))
+	return time.Duration(len(j.Tasks)-1) * each
+}
+
+// How size counts against a job: Weights.SmallFirst seconds for each second of a
+// machine that it needs, divided among the machines that are up, of which there
+// are taken to be fewMachines at least. When not all can be in time, more jobs are if the
+// small ones go first. It counts less once the job has waited for sizeFades, and
+// not at all after twice that.
+const (
+	fewMachines = 36
+	sizeFades   = 4 * time.Minute
+	agedPart    = 8
+)
+
+// Arrays whose image takes longer than longFetch to fetch have several turns. Their
+// first waves are so wide that they would be done spareTime before they are due.
+const (
+	longFetch = 10 * time.Second
+	spareTime = 20 * time.Second
+)
