--- /dev/null
+++ b/internal/core/rank_test.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// A gang that had missed its aim to start has a later one that it can still keep,
+// and so once waited for room to come by itself, for as long as that aim allowed.
+// By its age it comes before all others, and room is made for it at once.
+func TestAgedGangMakesRoom(t *testing.T) {
+	cfg := config()
+	cfg.Aims = map[string][]Aim{"g": {{Kind: AimFinish, Within: 400 * time.Second}}}
+	b := newBenchWith(t, cfg, 2, Snapshot{})
+	low := job("j-1", 16)
+	low.Record.Spec.Estimate, low.Record.Spec.Priority = 200*time.Second, pipeline.Normal
+	low.Record.Spec.Checkpoint, low.Record.Spec.Save = 5*time.Second, time.Second
+	low.Record.SubmittedMS = b.now.UnixMilli()
+	b.e.Step(b.now, JobStored{low})
+	machines := []string{"m-1", "m-2"}
+	tasks := map[string][]fleet.TaskReport{}
+	for _, m := range machines {
+		b.up(m)
+	}
+	b.pass(6*time.Second, true)
+	for _, m := range machines {
+		for _, c := range starts(b.report(m, 2)) {
+			tasks[m] = append(tasks[m], running(c))
+		}
+		if len(tasks[m]) != 8 {
+			t.Fatalf("%d starts on %s", len(tasks[m]), m)
+		}
+	}
+
+	gang := job("j-2", 2)
+	gang.Record.Spec.Class, gang.Record.Spec.Shape, gang.Record.Spec.Priority = "g", pipeline.Gang, pipeline.High
+	gang.Record.Spec.Estimate, gang.Record.Spec.CPUs = 10*time.Second, 4
+	gang.Record.SubmittedMS = b.now.UnixMilli()
+	b.e.Step(b.now, JobStored{gang})
+	stopped := func() (n int) {
+		for _, m := range machines {
+			for _, a := range b.e.machines[m].Tasks {
+				if a.Stopping {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	wait := func(d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); b.pass(2*time.Second, true) {
+			for _, m := range machines {
+				b.report(m, 2, tasks[m]...)
+			}
+		}
+	}
+	if wait(20 * time.Second); stopped() != 0 {
+		t.Fatalf("%d tasks stopped while the gang has time", stopped())
+	}
+	if wait(90 * time.Second); stopped() != 8 {
+		t.Fatalf("%d tasks stopped for a gang of two that has waited for long", stopped())
+	}
+}
