--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -29,7 +29,7 @@
 		switch st {
 		case 200, 201:
 			if rc.IsPost() && len(rc.PostBody()) > 0 {
-				if spec, err := wire.ParseSubmission(rc.PostBody()); err != nil || spec.Tasks != 16 || spec.MemGB != 64.5 {
+				if spec, _, err := wire.ParseSubmission(rc.PostBody()); err != nil || spec.Tasks != 16 || spec.MemGB != 64.5 {
 					t.Errorf("submitted %+v, %v", spec, err)
 				}
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -85,6 +85,62 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	Next     Next    `json:"next"`
+}
+
+// Next is what the state service will bear from some moment on; what isn't named
+// stays as it is.
+type Next struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
+// Lowest is the lower of the present and the coming limits: both are kept from the
+// start, since nobody says when the coming ones hold.
+func (s State) Lowest() State {
+	low := s
+	low.Next = Next{}
+	if n := s.Next.RPS; n != nil {
+		low.RPS = min(s.RPS, *n)
+	}
+	if n := s.Next.WriteRPS; n != nil {
+		low.WriteRPS = min(s.WriteRPS, *n)
+	}
+	if n := s.Next.ValueKB; n != nil {
+		low.ValueKB = min(s.ValueKB, *n)
+	}
+	if n := s.Next.TxnOps; n != nil {
+		low.TxnOps = min(s.TxnOps, *n)
+	}
+	return low
+}
+
+// Least limits of the state service with which the service can work.
+const (
+	leastRate    = 1
+	leastValueKB = 1
+	leastTxnOps  = 2
+)
+
+func (c *checker) state(s *State) {
+	c.atLeast("settings.state.rps", s.RPS, leastRate)
+	c.atLeast("settings.state.write_rps", s.WriteRPS, leastRate)
+	c.atLeast("settings.state.value_kb", s.ValueKB, leastValueKB)
+	c.atLeast("settings.state.txn_ops", float64(s.TxnOps), leastTxnOps)
+	if n := s.Next.RPS; n != nil {
+		c.atLeast("settings.state.next.rps", *n, leastRate)
+	}
+	if n := s.Next.WriteRPS; n != nil {
+		c.atLeast("settings.state.next.write_rps", *n, leastRate)
+	}
+	if n := s.Next.ValueKB; n != nil {
+		c.atLeast("settings.state.next.value_kb", *n, leastValueKB)
+	}
+	if n := s.Next.TxnOps; n != nil {
+		c.atLeast("settings.state.next.txn_ops", float64(*n), leastTxnOps)
+	}
 }
 
 // Cloud is what the cloud's interface bears, and how far its list lags.
@@ -164,10 +220,7 @@
 	c.positive("settings.workers.gang_wait_s", float64(p.Workers.GangWait))
 	c.positive("settings.workers.gang_peer_s", float64(p.Workers.GangPeer))
 	c.positive("settings.workers.cancel_s", float64(p.Workers.Cancel))
-	c.positive("settings.state.rps", p.State.RPS)
-	c.positive("settings.state.write_rps", p.State.WriteRPS)
-	c.atLeast("settings.state.value_kb", p.State.ValueKB, 4)
-	c.atLeast("settings.state.txn_ops", float64(p.State.TxnOps), 4)
+	c.state(&p.State)
 	c.positive("settings.cloud.rps", p.Cloud.RPS)
 	c.atLeast("settings.cloud.list_lag_s", float64(p.Cloud.ListLag), 0)
 	c.positive("settings.resources.memory_mb", p.Resources.MemoryMB)
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -65,7 +65,7 @@
 		Due:      func(j *pipeline.Job) time.Time { return e.needsRoomBy(now, j) },
 		MayStop:  func(by *pipeline.Job, a *fleet.Attempt) (float64, bool) { return e.mayStop(now, by, a) },
 		Stop:     func(a *fleet.Attempt) { e.preempt(now, a) },
-		Preempts: func(by *pipeline.Job) bool { return by.Priority < lowest || teams > 1 },
+		Preempts: func(by *pipeline.Job) bool { return by.Urgency < lowest || teams > 1 },
 		Spent: func() bool {
 			looked++
 			return looked > e.cfg.RoundBudget || (spent != nil && spent())
@@ -95,7 +95,7 @@
 	seen := map[string]bool{}
 	for _, j := range e.order {
 		if len(e.useOf(j.Ref).attempts) > 0 {
-			lowest, seen[j.Team] = max(lowest, j.Priority), true
+			lowest, seen[j.Team] = max(lowest, j.Urgency), true
 		}
 	}
 	return lowest, len(seen)
@@ -130,7 +130,7 @@
 	if j == nil || a.Foreign || a.Stopping || a.State() == fleet.Saving {
 		return 0, false
 	}
-	if by.Priority >= j.Priority && !e.owed(by, j) {
+	if by.Urgency >= j.Urgency && !e.owed(by, j) {
 		return 0, false
 	}
 	cost := 10 + j.Save.Seconds()
@@ -185,11 +185,18 @@
 	lateFactor = 2
 )
 
-// dueStart is when a job must have started to keep the next of its aims.
+// dueStart is when a job must have started to keep the next of its aims, or of
+// those of the last job of its line.
 func (e *Engine) dueStart(now time.Time, j *pipeline.Job) time.Time {
 	run, fetch := e.expectedRun(j), e.expectedFetch(j)
 	var next, last time.Duration
-	since := now.Sub(j.Submitted)
+	since := now.Sub(j.Since)
+	consider := func(d time.Duration) {
+		last = max(last, d)
+		if d >= since && (next == 0 || d < next) {
+			next = d
+		}
+	}
 	for _, a := range e.cfg.Aims[j.Class] {
 		var d time.Duration
 		switch a.Kind {
@@ -204,21 +211,24 @@
 			if j.Deadline == 0 {
 				continue
 			}
-			d = time.Duration(float64(j.Deadline)*a.Times) - run
+			d = time.Duration(float64(j.Deadline)*a.Times) - run - j.Since.Sub(j.Submitted)
 		}
-		d -= fetch
-		last = max(last, d)
-		if d >= since && (next == 0 || d < next) {
-			next = d
+		consider(d - fetch)
+	}
+	if l := j.Last; l.Job != nil {
+		for _, a := range e.cfg.Aims[l.Job.Class] {
+			if a.Kind == AimDeadline {
+				consider(l.By(a.Times).Sub(j.Since) - run - fetch)
+			}
 		}
 	}
 	switch {
 	case next > 0:
-		return j.Submitted.Add(next)
+		return j.Since.Add(next)
 	case last > 0:
-		return j.Submitted.Add(lateFactor * last)
+		return j.Since.Add(lateFactor * last)
 	}
-	return j.Submitted.Add(noAim)
+	return j.Since.Add(noAim)
 }
 
 // workLeft is the run time of all tasks of a job that aren't done.
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -69,6 +69,7 @@
 	started   time.Time // when the term was claimed, by this node's clock
 	lastTick  time.Time
 	jobs      map[string]*pipeline.Job
+	graph     *pipeline.Graph // which of them wait for which
 	order     []*pipeline.Job // unfinished jobs in ready order
 	machines  map[string]*fleet.Machine
 	watch     watchList               // when machines are to be looked at
@@ -188,6 +189,7 @@
 		machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, use: map[string]*jobUse{},
 		teamUse: map[string]fleet.Amount{}, changed: map[*fleet.Machine]bool{}, deaf: map[*fleet.Machine]bool{}, emptying: map[*fleet.Machine]bool{}, cancelled: map[*pipeline.Job]bool{},
 		finals: map[string]pipeline.Final{}, classes: map[string]*classStats{}, replan: true}
+	e.graph = pipeline.NewGraph(e.stageTime)
 	e.writes.init()
 	e.images.init()
 	e.inheritImages(snap.Images) // before the machines that it speaks of
--- a/internal/core/fleet/pages.go
+++ b/internal/core/fleet/pages.go
@@ -27,13 +27,20 @@
 	Placed []Placed `cbor:"p"`
 }
 
-// About what a machine and an attempt take of a page, in the JSON form that the
-// state service counts in.
+// What a machine and an attempt take of a page besides their names, at the most,
+// in the JSON form that the state service counts in.
 const (
-	placedBytes = 70
-	entryBytes  = 44
+	placedBytes = 24
+	entryBytes  = 36
+	pageBytes   = 16
 )
 
+// takes is what an attempt takes of a page at the most, on a machine of its own.
+func takes(a *Attempt) int {
+	m := a.On
+	return placedBytes + len(m.Name) + len(m.Type) + len(m.Zone) + entryBytes + len(a.Ref)
+}
+
 // Page is one value of the start log: which attempts may be on which machines.
 // An attempt is named in a page of the store before its first start leaves, and
 // stays so until it is proven gone; whoever takes over reads all pages. Many
@@ -45,6 +52,7 @@
 	Dirty   bool   // holds attempts that the store doesn't
 	Trimmed time.Time
 	live    map[*Attempt]bool
+	bytes   int // what those take at the most
 	stale   int // entries in the store whose attempts are gone
 }
 
@@ -56,7 +64,10 @@
 // Add puts an attempt on the page: a new one, which makes it dirty, or one that
 // AddStale has counted and that turns out to be current.
 func (p *Page) Add(a *Attempt, stored bool) {
-	p.live[a] = true
+	if !p.live[a] {
+		p.live[a] = true
+		p.bytes += takes(a)
+	}
 	a.Page = p
 	if stored {
 		p.stale--
@@ -72,6 +83,7 @@
 func (p *Page) Remove(a *Attempt) {
 	if p.live[a] {
 		delete(p.live, a)
+		p.bytes -= takes(a)
 		p.stale++
 	}
 }
@@ -83,10 +95,28 @@
 // Stale counts the entries in the store whose attempts are gone.
 func (p *Page) Stale() int { return p.stale }
 
-// Fits tells whether so many more attempts have room on the page, with each on
-// a machine of its own.
-func (p *Page) Fits(more, maxBytes int) bool {
-	return (len(p.live)+more)*(placedBytes+entryBytes) <= max(maxBytes, placedBytes+entryBytes)
+// Fits tells whether the page, with one more attempt if there is one, takes no
+// more than so many bytes. A single attempt always does.
+func (p *Page) Fits(a *Attempt, maxBytes int) bool {
+	n := pageBytes + p.bytes
+	if a != nil {
+		n += takes(a)
+	}
+	return n <= maxBytes || a != nil && len(p.live) == 0
+}
+
+// Roomy tells whether at least half of so many bytes are free.
+func (p *Page) Roomy(maxBytes int) bool { return pageBytes+p.bytes <= maxBytes/2 }
+
+// Unwritten lists the attempts that the store isn't known to hold.
+func (p *Page) Unwritten() []*Attempt {
+	var out []*Attempt
+	for a := range p.live {
+		if a.state == Intended {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 // Record returns the page as it should now be written.
@@ -142,3 +172,9 @@
 	}
 	p.stale++ // what the store holds may differ
 }
+
+// Refused notes that the store won't take the page as it was sent.
+func (p *Page) Refused(now time.Time) {
+	p.Sending, p.Dirty, p.Trimmed = false, false, now
+	p.stale++
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -36,10 +36,13 @@
 		return
 	}
 	j.Version = s.Job.Version
+	awaits := j.Awaits()
 	if s.Job.Record.Phase == pipeline.Cancelled && j.Cancel(time.UnixMilli(s.Job.Record.CancelledMS)) {
+		e.graph.Leave(j, awaits)
 		e.note("job cancelled", "job", ref)
 		e.cancelled[j] = true
 		e.stopJob(now, j, "cancelled")
+		e.cancelAfter(now, ref)
 	}
 	e.writes.jobChanged(j)
 }
@@ -50,14 +53,15 @@
 	Final pipeline.Final
 }
 
-func (f JobFinal) apply(e *Engine, now time.Time) { e.finished(f.Ref, f.Final) }
+func (f JobFinal) apply(e *Engine, now time.Time) { e.finished(now, f.Ref, f.Final) }
 
 // finished takes in that the store holds a job's final entry.
-func (e *Engine) finished(ref string, f pipeline.Final) {
+func (e *Engine) finished(now time.Time, ref string, f pipeline.Final) {
 	if len(e.finals) >= maxFinals {
 		clear(e.finals) // the store still knows them
 	}
 	e.finals[ref] = f
+	e.settleAfter(now, ref, f)
 	j := e.jobs[ref]
 	if j == nil {
 		return
@@ -85,15 +89,18 @@
 	e.order = append(e.order, nil)
 	copy(e.order[at+1:], e.order[at:])
 	e.order[at] = j
-	c := e.class(j.Class)
-	c.arrived(now, j.Count(pipeline.Waiting))
-	c.spec = &j.Spec
 	j.Settle()
-	if j.Phase() == pipeline.Cancelled {
+	e.graph.Add(j)
+	switch j.Phase() {
+	case pipeline.Held:
+		e.weigh(now, j)
+	case pipeline.Cancelled:
 		e.cancelled[j] = true
+		e.cancelAfter(now, j.Ref)
+	default:
+		e.arrived(now, j)
 	}
 	e.writes.jobChanged(j)
-	e.replan = true
 }
 
 func sortedJobs(set map[*pipeline.Job]bool) []*pipeline.Job {
@@ -130,6 +137,7 @@
 
 func (e *Engine) removeJob(j *pipeline.Job) {
 	delete(e.jobs, j.Ref)
+	e.graph.Remove(j)
 	e.dropUse(j.Ref)
 	if i := slices.Index(e.order, j); i >= 0 {
 		e.order = slices.Delete(e.order, i, i+1)
@@ -157,8 +165,11 @@
 		return JobView{}, false
 	}
 	v := JobView{Phase: j.Written(), Done: j.Count(pipeline.Finished)}
-	if v.Phase == pipeline.Active {
+	switch v.Phase {
+	case pipeline.Active:
 		v.Running = e.useOf(ref).running
+	case pipeline.Held:
+		v.Phase = pipeline.Active // none of it runs, and that is what users are told
 	}
 	return v, true
 }
@@ -308,7 +319,7 @@
 	if t.Cause == fleet.CauseDone {
 		e.debug("attempt done", "job", a.Ref, "task", a.Task, "machine", m.Name)
 		m.Forgive()
-		if j == nil || j.Phase() != pipeline.Active || a.Task >= len(j.Tasks) {
+		if j == nil || j.Over() || a.Task >= len(j.Tasks) {
 			a.Handled = true
 			return
 		}
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -69,38 +69,15 @@
 // Phase is where a job is in its life.
 type Phase uint8
 
-// Phases of a job. Done and Cancelled are final.
+// Phases of a job. Done and Cancelled are final. Held is never stored: a record
+// says Active, with the jobs that have to be done first.
 const (
 	Active Phase = iota
 	Done
 	Cancelled
+	Held // waits for other jobs
 )
 
-// Record is what the state service holds of a job that isn't over, under one
-// key. Done ranges past the first chunk have keys of their own.
-type Record struct {
-	Spec        Spec  `cbor:"s"`
-	SubmittedMS int64 `cbor:"at"`
-	Phase       Phase `cbor:"p"`
-	CancelledMS int64 `cbor:"ca,omitempty"`
-	Done        []int `cbor:"d,omitempty"`
-	Restarts    []int `cbor:"r,omitempty"` // task, count, task, count, …
-}
-
-// Final is what the state service keeps of a job that is over.
-type Final struct {
-	Phase Phase `cbor:"p"`
-	Tasks int   `cbor:"n"`
-}
-
-// ChunkTasks is how many tasks share one value of done ranges: alternating
-// tasks, the worst case, then still fit the smallest value limit.
-const ChunkTasks = 1024
-
-// maxRestartPairs bounds the restart counts kept in a record. Losing the rest
-// only makes a task be retried more often.
-const maxRestartPairs = 100
-
 // TaskState is the state of one task as far as its pipeline is concerned.
 type TaskState uint8
 
@@ -130,7 +107,14 @@
 type Job struct {
 	Spec
 	Submitted time.Time
+	Since     time.Time // from when its times count: submitted, or the end of the last job that it needs
+	Urgency   Priority  // the highest among its own and those of the jobs that need it
+	Last      Last      // the job with a deadline that makes it most pressing, of those that need it
 	CancelAt  time.Time
+	awaits    []string        // while Held
+	open      map[string]bool // those of them that aren't known to be done
+	pages     Record          // its AwaitPages and AwaitSum
+	cut       map[int]int     // of chunks that were written cut short: from which task on
 	phase     Phase
 	written   Phase // the phase that the store is known to hold
 	Version   uint64
@@ -155,6 +139,21 @@
 	if r.CancelledMS != 0 {
 		j.CancelAt = time.UnixMilli(r.CancelledMS)
 	}
+	j.Since, j.Urgency = j.Submitted, j.Priority
+	if r.ReadyMS != 0 {
+		j.Since = time.UnixMilli(r.ReadyMS)
+	}
+	j.pages.AwaitPages, j.pages.AwaitSum = r.AwaitPages, r.AwaitSum
+	if r.Held() {
+		j.phase, j.written = Held, Held
+		j.open = map[string]bool{}
+		for _, p := range r.Awaits {
+			if !j.open[p] {
+				j.open[p] = true
+				j.awaits = append(j.awaits, p)
+			}
+		}
+	}
 	j.counts[Waiting] = r.Spec.Tasks
 	j.loadChunk(0, r.Done)
 	for c, runs := range chunks {
@@ -168,20 +167,6 @@
 	return j, nil
 }
 
-// loadChunk applies run lengths: so many tasks not done, so many done, and on.
-func (j *Job) loadChunk(chunk int, runs []int) {
-	at, done := chunk*ChunkTasks, false
-	for _, n := range runs {
-		for end := min(at+n, len(j.Tasks)); at < end; at++ {
-			if done {
-				j.moveTask(at, Finished)
-			}
-		}
-		done = !done
-	}
-	delete(j.dirty, chunk)
-}
-
 // moveTask is the one place where a task changes state.
 func (j *Job) moveTask(i int, to TaskState) {
 	t := &j.Tasks[i]
@@ -255,15 +240,67 @@
 // Count returns how many tasks are in a state.
 func (j *Job) Count(s TaskState) int { return j.counts[s] }
 
-// moveJob is the one place where a job changes phase; final phases stay.
+// moveJob is the one place where a job changes phase; final phases stay. A job
+// that is held goes on once the jobs before it are done, and is done at once if
+// its results turn up: they prove that it had been let go before.
 func (j *Job) moveJob(to Phase) bool {
-	if j.phase != Active || to == Active {
+	if j.phase != Active && j.phase != Held || to == j.phase || to == Held {
 		return false
 	}
+	if j.phase == Held {
+		j.awaits, j.open = nil, nil
+		if j.written == Held {
+			j.written = Active
+		}
+	}
 	j.phase = to
 	return true
 }
 
+// Over tells whether the job's phase is final.
+func (j *Job) Over() bool { return j.phase == Done || j.phase == Cancelled }
+
+// Awaits are the jobs that the job waits for and that aren't known to be done.
+func (j *Job) Awaits() []string {
+	out := make([]string, 0, len(j.open))
+	for _, p := range j.awaits {
+		if j.open[p] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// AwaitPages names the pages of the list of jobs that it was submitted with.
+func (j *Job) AwaitPages() (sum string, pages int) { return j.pages.AwaitSum, j.pages.AwaitPages }
+
+// Met notes that the store holds that a job before it is done, and since when;
+// it tells whether that was the last one.
+func (j *Job) Met(parent string, at time.Time) bool {
+	if !j.open[parent] {
+		return false
+	}
+	delete(j.open, parent)
+	if at.After(j.Since) {
+		j.Since = at
+	}
+	if len(j.open) > 0 || !j.moveJob(Active) {
+		return false
+	}
+	j.dirty[0] = true // so that the next leader needn't ask again
+	return true
+}
+
+// Doom cancels a job that waits for one that is cancelled. Nothing of it has ever
+// been started.
+func (j *Job) Doom(at time.Time) bool {
+	if j.phase != Held || !j.moveJob(Cancelled) {
+		return false
+	}
+	j.CancelAt = at
+	return true
+}
+
 // Settle moves the job to Done once all its tasks are.
 func (j *Job) Settle() bool {
 	return j.Shape != Service && j.counts[Finished] == len(j.Tasks) && j.moveJob(Done)
@@ -274,6 +311,10 @@
 	if j.phase == Done && j.written != Done {
 		j.phase = Active // the cancellation was written before our result could be
 	}
+	if j.phase == Cancelled && j.written != Cancelled {
+		j.written = Cancelled // a cancellation was derived here that the store now holds
+		return true
+	}
 	if !j.moveJob(Cancelled) {
 		return false
 	}
@@ -330,46 +371,23 @@
 // DirtyChunk tells whether one chunk is to be written.
 func (j *Job) DirtyChunk(chunk int) bool { return j.dirty[chunk] }
 
-// Clean notes that a chunk's present content is about to be written; Touch puts
-// it back if the write failed.
-func (j *Job) Clean(chunk int) { delete(j.dirty, chunk) }
-
-// Touch marks a chunk as not written.
-func (j *Job) Touch(chunk int) { j.dirty[chunk] = true }
-
-// Chunk returns a chunk's done ranges as run lengths.
-func (j *Job) Chunk(chunk int) []int {
-	var runs []int
-	done, n := false, 0
-	for i := chunk * ChunkTasks; i < min((chunk+1)*ChunkTasks, len(j.Tasks)); i++ {
-		if f := j.Tasks[i].state == Finished; f != done {
-			runs = append(runs, n)
-			done, n = f, 0
-		}
-		n++
-	}
-	if done {
-		runs = append(runs, n)
-	}
-	return runs
-}
-
-// Record returns the job's record as it should now be written.
-func (j *Job) Record() Record {
-	r := Record{Spec: j.Spec, SubmittedMS: j.Submitted.UnixMilli(), Phase: j.phase, Done: j.Chunk(0)}
-	if j.phase == Done {
-		r.Phase = Active // done is written as the job's final entry only
+// Clean notes that a chunk's present content is about to be written, perhaps cut
+// short; Touch puts it back if the write failed.
+func (j *Job) Clean(chunk int, runs []int) {
+	delete(j.dirty, chunk)
+	delete(j.cut, chunk)
+	if len(runs) == len(j.Chunk(chunk)) {
+		return
 	}
-	if !j.CancelAt.IsZero() {
-		r.CancelledMS = j.CancelAt.UnixMilli()
+	to := chunk * ChunkTasks
+	for _, n := range runs {
+		to += n
 	}
-	for i := range j.Tasks {
-		if n := j.Tasks[i].restarts; n > 0 && len(r.Restarts) < 2*maxRestartPairs {
-			r.Restarts = append(r.Restarts, i, int(n))
-		}
+	if j.cut == nil {
+		j.cut = map[int]int{}
 	}
-	return r
+	j.cut[chunk] = to
 }
 
-// FinalEntry returns what stays of the job once it is over.
-func (j *Job) FinalEntry() Final { return Final{Phase: j.phase, Tasks: len(j.Tasks)} }
+// Touch marks a chunk as not written.
+func (j *Job) Touch(chunk int) { j.dirty[chunk] = true }
--- a/internal/core/pipeline/pipeline_test.go
+++ b/internal/core/pipeline/pipeline_test.go
@@ -35,7 +35,7 @@
 					t.Fatalf("chunk of %d runs", len(chunks[c]))
 				}
 			}
-			rec := j.Record()
+			rec := j.Record(1 << 20)
 			delete(chunks, 0)
 			k, err := NewJob(rec, 2, chunks)
 			if err != nil {
@@ -46,7 +46,7 @@
 					t.Fatalf("%d tasks: task %d differs", n, i)
 				}
 			}
-			if k.Dirty() || !reflect.DeepEqual(rec.Done, k.Record().Done) {
+			if k.Dirty() || !reflect.DeepEqual(rec.Done, k.Record(1<<20).Done) {
 				t.Fatalf("%d tasks: reading changes the record", n)
 			}
 		}
@@ -107,7 +107,7 @@
 			t.Fatalf("restart %d: not repeated after its back-off", n)
 		}
 	}
-	k, err := NewJob(j.Record(), 2, nil)
+	k, err := NewJob(j.Record(1<<20), 2, nil)
 	if err != nil || k.Tasks[0].Restarts() != 12 {
 		t.Fatalf("restarts after reading: %d, %v", k.Tasks[0].Restarts(), err)
 	}
--- /dev/null
+++ b/internal/core/pipeline/record.go
@@ -0,0 +1,168 @@
+package pipeline
+
+import "strconv"
+
+// Record is what the state service holds of a job that isn't over, under one
+// key. Done ranges past the first chunk have keys of their own.
+type Record struct {
+	Spec        Spec  `cbor:"s"`
+	SubmittedMS int64 `cbor:"at"`
+	Phase       Phase `cbor:"p"`
+	CancelledMS int64 `cbor:"ca,omitempty"`
+	Done        []int `cbor:"d,omitempty"`
+	Restarts    []int `cbor:"r,omitempty"` // task, count, task, count, …
+	// Of a job that names others: the jobs, here or, if that would be too large, on
+	// so many pages of their own, and, once the store holds that all are done, when
+	// the last one was.
+	Awaits     []string `cbor:"aw,omitempty"`
+	AwaitPages int      `cbor:"ap,omitempty"`
+	AwaitSum   string   `cbor:"as,omitempty"` // tells the pages of one list from those of another
+	ReadyMS    int64    `cbor:"rd,omitempty"`
+}
+
+// Held tells whether the job of the record waits for others, as far as it says.
+func (r *Record) Held() bool {
+	return r.Phase == Active && r.ReadyMS == 0 && (len(r.Awaits) > 0 || r.AwaitPages > 0)
+}
+
+// Final is what the state service keeps of a job that is over.
+type Final struct {
+	Phase Phase `cbor:"p"`
+	Tasks int   `cbor:"n"`
+	EndMS int64 `cbor:"e,omitempty"` // when, if jobs were waiting for it
+}
+
+// ChunkTasks is how many tasks share one value of done ranges. Ranges that would
+// make the value too large are left out, see FitRuns.
+const ChunkTasks = 1024
+
+// maxRestartPairs bounds the restart counts kept in a record. Losing the rest
+// only makes a task be retried more often.
+const maxRestartPairs = 100
+
+// How many bytes a record takes besides its texts and lists at the most, and a
+// pair of restart counts, in the JSON form that the state service counts in.
+const (
+	recordBytes  = 520
+	restartBytes = 14
+)
+
+// textBytes bounds what a text takes in JSON, where a byte may become six.
+func textBytes(s string) int {
+	n := 3
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			n += 6
+		} else {
+			n++
+		}
+	}
+	return n
+}
+
+// Bytes bounds what a record takes in the store with its lists left out.
+func (r *Record) Bytes() int {
+	s := &r.Spec
+	n := recordBytes + textBytes(s.Ref) + textBytes(s.Class) + textBytes(s.Team) + textBytes(s.Image) + textBytes(s.Zone)
+	for _, t := range s.Types {
+		n += textBytes(t)
+	}
+	return n + AwaitBytes(r.Awaits)
+}
+
+// AwaitBytes bounds what a list of jobs takes in the store.
+func AwaitBytes(refs []string) int {
+	n := 2
+	for _, a := range refs {
+		n += textBytes(a)
+	}
+	return n
+}
+
+// FitRuns leaves out of done ranges what makes them take more than so many
+// bytes. Tasks past the last one count as not done in the store; they are done
+// again if nothing else is left of their results.
+func FitRuns(runs []int, most int) []int {
+	n := 2
+	for i, r := range runs {
+		if n += len(strconv.Itoa(r)) + 1; n > most {
+			return runs[:i&^1]
+		}
+	}
+	return runs
+}
+
+// loadChunk applies run lengths: so many tasks not done, so many done, and on.
+func (j *Job) loadChunk(chunk int, runs []int) {
+	at, done := chunk*ChunkTasks, false
+	for _, n := range runs {
+		for end := min(at+n, len(j.Tasks)); at < end; at++ {
+			if done {
+				j.moveTask(at, Finished)
+			}
+		}
+		done = !done
+	}
+	delete(j.dirty, chunk)
+}
+
+// Chunk returns a chunk's done ranges as run lengths.
+func (j *Job) Chunk(chunk int) []int {
+	var runs []int
+	done, n := false, 0
+	for i := chunk * ChunkTasks; i < min((chunk+1)*ChunkTasks, len(j.Tasks)); i++ {
+		if f := j.Tasks[i].state == Finished; f != done {
+			runs = append(runs, n)
+			done, n = f, 0
+		}
+		n++
+	}
+	if done {
+		runs = append(runs, n)
+	}
+	return runs
+}
+
+// Record returns the job's record as it should now be written, in no more than so
+// many bytes.
+func (j *Job) Record(most int) Record {
+	r := Record{Spec: j.Spec, SubmittedMS: j.Submitted.UnixMilli(), Phase: j.phase,
+		AwaitPages: j.pages.AwaitPages, AwaitSum: j.pages.AwaitSum}
+	switch j.phase {
+	case Done:
+		r.Phase = Active // done is written as the job's final entry only
+	case Held:
+		r.Phase = Active
+		if r.AwaitPages == 0 {
+			r.Awaits = j.awaits
+		}
+	}
+	if j.phase != Held && j.Since.After(j.Submitted) || j.phase == Active && r.AwaitPages > 0 {
+		r.ReadyMS = j.Since.UnixMilli()
+	}
+	if !j.CancelAt.IsZero() {
+		r.CancelledMS = j.CancelAt.UnixMilli()
+	}
+	left := most - r.Bytes()
+	r.Done = FitRuns(j.Chunk(0), left)
+	for _, n := range r.Done {
+		left -= len(strconv.Itoa(n)) + 1
+	}
+	pairs := min(maxRestartPairs, left/restartBytes)
+	for i := range j.Tasks {
+		if n := j.Tasks[i].restarts; n > 0 && len(r.Restarts) < 2*pairs {
+			r.Restarts = append(r.Restarts, i, int(n))
+		}
+	}
+	return r
+}
+
+// Stored tells whether the store holds a task's result, as far as is known.
+func (j *Job) Stored(task int) bool {
+	chunk := task / ChunkTasks
+	to, cut := j.cut[chunk]
+	return !j.dirty[chunk] && (!cut || task < to)
+}
+
+// FinalEntry returns what stays of the job once it is over.
+func (j *Job) FinalEntry() Final { return Final{Phase: j.phase, Tasks: len(j.Tasks)} }
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -44,8 +44,8 @@
 		return b.held
 	case a.aged != b.aged:
 		return a.aged
-	case !a.aged && a.Job.Priority != b.Job.Priority:
-		return a.Job.Priority < b.Job.Priority
+	case !a.aged && a.Job.Urgency != b.Job.Urgency:
+		return a.Job.Urgency < b.Job.Urgency
 	case a.cold != b.cold:
 		return a.cold < b.cold
 	}
@@ -56,14 +56,14 @@
 // machines that have it, for as many others as they need to be in time, and for
 // the rest. The time that a place is held for a fetch is lost to all.
 func (e *Engine) turnsOf(out []rank, now time.Time, j *pipeline.Job, machines float64) []rank {
-	wait := now.Sub(j.Submitted)
+	wait := now.Sub(j.Since)
 	held := j.HeldBack(e.cfg.RestartLimit)
 	if !held && e.aged(now, j) {
 		most := len(j.Tasks)
 		if j.Shape == pipeline.Array {
 			most = 1 + most/agedPart
 		}
-		out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Submitted.Add(-e.gatherTime(j))})
+		out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Since.Add(-e.gatherTime(j))})
 	}
 	size := time.Duration(float64(e.workLeft(j)) * e.cfg.Weights.SmallFirst / machines)
 	size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
@@ -96,7 +96,7 @@
 // aged tells whether a job has waited so long for its first task that it comes
 // before all others.
 func (e *Engine) aged(now time.Time, j *pipeline.Job) bool {
-	return !j.Started && now.Sub(j.Submitted) > e.agesAfter(j)
+	return !j.Started && now.Sub(j.Since) > e.agesAfter(j)
 }
 
 // needsRoomBy is when a job must have room if it isn't to be late; one that has
--- a/internal/core/writes.go
+++ b/internal/core/writes.go
@@ -22,6 +22,7 @@
 	DropChunk                    // done ranges of a job that is over
 	WriteImages                  // a page of the image log
 	DropImages                   // one that speaks of no machine any more
+	DropAwaits                   // a page of a long list of jobs to wait for
 )
 
 // Write is one change to the store. Its condition is Version (0: the key
@@ -30,6 +31,7 @@
 	Kind    WriteKind
 	Name    string // job or page
 	Chunk   int
+	Sum     string // which list a page of jobs to wait for belongs to
 	Version uint64
 	Page    fleet.Record
 	Job     pipeline.Record
@@ -38,22 +40,25 @@
 	Images  fleet.ImageRecord
 }
 
-// chunkRef names the key of further done ranges.
+// chunkRef names the key of further done ranges, or of a page of jobs to wait for.
 type chunkRef struct {
+	kind  WriteKind
 	ref   string
+	sum   string
 	chunk int
 }
 
 // writeQueue is what the store doesn't hold yet.
 type writeQueue struct {
-	pages   map[string]*fleet.Page
-	fresh   []*fleet.Attempt // decided, but on no page yet
-	open    *fleet.Page      // the page that takes new attempts
-	dirty   map[*fleet.Page]bool
-	jobs    map[*pipeline.Job]bool // may have something to be written
-	lastJob map[string]time.Time   // when a job's record was last written
-	cleanup []chunkRef             // done ranges of jobs that are over
-	tidied  time.Time
+	pages     map[string]*fleet.Page
+	fresh     []*fleet.Attempt // decided, but on no page yet
+	open      *fleet.Page      // the page that takes new attempts
+	dirty     map[*fleet.Page]bool
+	jobs      map[*pipeline.Job]bool // may have something to be written
+	lastJob   map[string]time.Time   // when a job's record was last written
+	cleanup   []chunkRef             // done ranges of jobs that are over
+	tidied    time.Time
+	endsFirst bool // whose turn it is
 }
 
 func (q *writeQueue) init() {
@@ -78,7 +83,11 @@
 	delete(q.jobs, j)
 	delete(q.lastJob, j.Ref)
 	for c := 1; c*pipeline.ChunkTasks < len(j.Tasks); c++ {
-		q.cleanup = append(q.cleanup, chunkRef{j.Ref, c})
+		q.cleanup = append(q.cleanup, chunkRef{kind: DropChunk, ref: j.Ref, chunk: c})
+	}
+	sum, pages := j.AwaitPages()
+	for i := range pages {
+		q.cleanup = append(q.cleanup, chunkRef{kind: DropAwaits, ref: j.Ref, sum: sum, chunk: i})
 	}
 }
 
@@ -87,11 +96,20 @@
 	return len(e.writes.fresh) > 0 || len(e.writes.dirty) > 0 || len(e.writes.jobs) > 0
 }
 
-// Batch asks for the most pressing writes, at most `most` puts and drops:
-// starts first, then jobs' ends, partial progress, and last what only tidies.
+// Batch asks for the most pressing writes, at most `most` puts and drops: starts
+// and jobs' ends, taking turns at going first, then partial progress, and last
+// what only tidies.
 func (e *Engine) Batch(now time.Time, most int) []Write {
-	out := e.pageWrites(nil, most)
-	out = e.jobWrites(now, out, most)
+	var out []Write
+	ends, progress := e.jobsToWrite(now)
+	if e.writes.endsFirst = !e.writes.endsFirst; e.writes.endsFirst {
+		out = e.endWrites(now, out, ends, most)
+		out = e.pageWrites(out, most)
+	} else {
+		out = e.pageWrites(out, most)
+		out = e.endWrites(now, out, ends, most)
+	}
+	out = e.progressWrites(out, progress, most)
 	if len(out) == 0 {
 		out = e.tidy(now, out, most)
 	}
@@ -105,8 +123,8 @@
 		if a.State() != fleet.Intended {
 			continue // withdrawn meanwhile
 		}
-		if q.open == nil || q.open.Sending || !q.open.Fits(1, e.cfg.MaxPerValue) {
-			if len(q.dirty) >= most {
+		if q.open == nil || q.open.Sending || !q.open.Fits(a, e.cfg.MaxPerValue) {
+			if len(q.dirty) >= most-changes(out) {
 				q.fresh = append(q.fresh[:0], q.fresh[i:]...)
 				return e.dirtyPages(out, most)
 			}
@@ -125,7 +143,7 @@
 	q := &e.writes
 	var best *fleet.Page
 	for _, p := range q.pages {
-		if !p.Sending && p.Fits(max(p.Live(), 8), e.cfg.MaxPerValue) &&
+		if !p.Sending && p.Roomy(e.cfg.MaxPerValue) &&
 			(best == nil || p.Live() < best.Live() || p.Live() == best.Live() && p.Name < best.Name) {
 			best = p
 		}
@@ -140,7 +158,7 @@
 
 func (e *Engine) dirtyPages(out []Write, most int) []Write {
 	for _, p := range sortedPages(e.writes.dirty) {
-		if len(out) < most && !p.Sending {
+		if changes(out) < most && !p.Sending {
 			out = append(out, Write{Kind: WritePage, Name: p.Name, Version: p.Version, Page: p.Record()})
 		}
 	}
@@ -159,19 +177,14 @@
 	return out
 }
 
-// jobWrites are finished jobs at once, and progress every so often, that which
-// has waited longest first.
-func (e *Engine) jobWrites(now time.Time, out []Write, most int) []Write {
-	var progress []*pipeline.Job
-	ops := len(out)
+// jobsToWrite are the jobs that are over, and those of which progress is due to
+// be written, that which has waited longest first.
+func (e *Engine) jobsToWrite(now time.Time) (ends, progress []*pipeline.Job) {
 	for _, j := range sortedJobs(e.writes.jobs) {
 		switch {
 		case e.over(j):
-			if ops+2 <= most { // a put and a drop
-				ops += 2
-				out = append(out, Write{Kind: WriteFinal, Name: j.Ref, Version: j.Version, Final: j.FinalEntry()})
-			}
-		case j.Phase() != pipeline.Active || !j.Dirty():
+			ends = append(ends, j)
+		case j.Over() || !j.Dirty():
 			delete(e.writes.jobs, j)
 		case now.Sub(e.writes.lastJob[j.Ref]) >= e.cfg.BatchEvery:
 			progress = append(progress, j)
@@ -180,17 +193,37 @@
 	sort.SliceStable(progress, func(i, k int) bool {
 		return e.writes.lastJob[progress[i].Ref].Before(e.writes.lastJob[progress[k].Ref])
 	})
+	return ends, progress
+}
+
+// endWrites put final entries in the place of jobs' records.
+func (e *Engine) endWrites(now time.Time, out []Write, ends []*pipeline.Job, most int) []Write {
+	for _, j := range ends {
+		if changes(out)+2 > most { // a put and a drop
+			break
+		}
+		f := j.FinalEntry()
+		if e.graph.Awaited(j.Ref) {
+			f.EndMS = now.UnixMilli()
+		}
+		out = append(out, Write{Kind: WriteFinal, Name: j.Ref, Version: j.Version, Final: f})
+	}
+	return out
+}
+
+func (e *Engine) progressWrites(out []Write, progress []*pipeline.Job, most int) []Write {
+	ops := changes(out)
 	for _, j := range progress {
-		if ops+2 > most {
+		if ops >= most {
 			break
 		}
-		out = append(out, Write{Kind: WriteJob, Name: j.Ref, Version: j.Version, Job: j.Record()})
+		out = append(out, Write{Kind: WriteJob, Name: j.Ref, Version: j.Version, Job: j.Record(e.cfg.MaxPerValue)})
 		ops++
 		chunks := j.DirtyChunks()
 		sort.Ints(chunks)
 		for _, c := range chunks {
 			if c > 0 && ops < most {
-				out = append(out, Write{Kind: WriteChunk, Name: j.Ref, Chunk: c, Runs: j.Chunk(c)})
+				out = append(out, Write{Kind: WriteChunk, Name: j.Ref, Chunk: c, Runs: pipeline.FitRuns(j.Chunk(c), e.cfg.MaxPerValue)})
 				ops++
 			}
 		}
@@ -220,7 +253,7 @@
 	q := &e.writes
 	for _, c := range q.cleanup {
 		if len(out) < most {
-			out = append(out, Write{Kind: DropChunk, Name: c.ref, Chunk: c.chunk})
+			out = append(out, Write{Kind: c.kind, Name: c.ref, Sum: c.sum, Chunk: c.chunk})
 		}
 	}
 	if now.Sub(q.tidied) < tidyEvery/10 {
@@ -229,7 +262,7 @@
 	q.tidied = now
 	var worst *fleet.Page
 	for _, p := range q.pages {
-		if p.Sending || p == q.open || p.Stale() == 0 || now.Sub(p.Trimmed) < tidyEvery {
+		if p.Sending || p == q.open || p.Stale() == 0 || now.Sub(p.Trimmed) < tidyEvery || !p.Fits(nil, e.cfg.MaxPerValue) {
 			continue
 		}
 		if worst == nil || p.Stale() > worst.Stale() || p.Stale() == worst.Stale() && p.Name < worst.Name {
@@ -260,12 +293,12 @@
 			}
 		case WriteJob:
 			if j := e.jobs[w.Name]; j != nil {
-				j.Clean(0)
+				j.Clean(0, w.Job.Done)
 				e.writes.lastJob[j.Ref] = now
 			}
 		case WriteChunk:
 			if j := e.jobs[w.Name]; j != nil {
-				j.Clean(w.Chunk)
+				j.Clean(w.Chunk, w.Runs)
 			}
 		case WriteImages, DropImages:
 			e.imagesSent(w.Name)
@@ -316,12 +349,12 @@
 			e.settleResults(j)
 		}
 	case WriteFinal:
-		e.finished(op.Name, op.Final)
+		e.finished(now, op.Name, op.Final)
 	case WriteImages, DropImages:
 		e.imagesWritten(op, true)
-	case DropChunk:
+	case DropChunk, DropAwaits:
 		for i, c := range e.writes.cleanup {
-			if c.ref == op.Name && c.chunk == op.Chunk {
+			if c.kind == op.Kind && c.ref == op.Name && c.chunk == op.Chunk {
 				e.writes.cleanup = append(e.writes.cleanup[:i], e.writes.cleanup[i+1:]...)
 				break
 			}
@@ -336,7 +369,7 @@
 		return
 	}
 	for a := range u.results {
-		if j.Written() != pipeline.Active || !j.DirtyChunk(a.Task/pipeline.ChunkTasks) {
+		if j.Written() == pipeline.Done || j.Written() == pipeline.Cancelled || j.Stored(a.Task) {
 			a.Handled = true
 			delete(u.results, a)
 		}
@@ -366,3 +399,43 @@
 		e.imagesWritten(op, false)
 	}
 }
+
+// Refused says that the store takes a write under no circumstances: its limits are
+// lower than the settings say.
+type Refused struct{ Write Write }
+
+// What values are made smaller by when one was refused, down to which size, and for
+// how long a job's progress that was refused isn't tried again.
+const (
+	refusedPart  = 0.75
+	leastValue   = 400
+	refusedPause = 30 * time.Second
+)
+
+func (r Refused) apply(e *Engine, now time.Time) {
+	op := r.Write
+	e.note("write refused by the state service", "kind", op.Kind, "name", op.Name, "value_bytes", e.cfg.MaxPerValue)
+	e.cfg.MaxPerValue = max(leastValue, int(float64(e.cfg.MaxPerValue)*refusedPart))
+	switch op.Kind {
+	case WritePage, DropPage:
+		p := e.writes.pages[op.Name]
+		if p == nil {
+			return
+		}
+		for _, a := range p.Unwritten() {
+			e.stop(now, a.On, a, 0) // to be placed again, on a page with less on it
+		}
+		p.Refused(now)
+		e.writes.pageChanged(p)
+		if e.writes.open == p {
+			e.writes.open = nil
+		}
+	case WriteJob, WriteChunk:
+		e.unwritten(op, nil)
+		e.writes.lastJob[op.Name] = now.Add(refusedPause)
+	case WriteImages, DropImages:
+		// Left as it is until something on it changes.
+	default:
+		e.unwritten(op, nil)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,19 +71,20 @@
 // batchMost is how many changes the leader writes at once: a transaction's
 // limit, and no more than its part of a second's writes.
 func (d *Daemon) batchMost() int {
-	p := &d.cfg.Params.State
-	return min(p.TxnOps, max(4, int(p.WriteRPS*leadPart)))
+	s := d.cfg.Params.State.Lowest()
+	return min(s.TxnOps, max(4, int(s.WriteRPS*leadPart)))
 }
 
 // New makes a controller.
 func New(cfg *config.Settings, op operator.Settings) (*Daemon, error) {
 	p := &cfg.Params
+	state := p.State.Lowest()
 	d := &Daemon{cfg: cfg, op: op, started: time.Now(), health: health.New(time.Now()), metrics: newMetrics()}
 	d.core = core.Config{
 		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
 		CancelWithin: p.Workers.Cancel.Duration(), GangWait: p.Workers.GangWait.Duration(), ListLag: p.Cloud.ListLag.Duration(),
-		RestartLimit: op.RestartLimit, BatchEvery: op.BatchInterval, Weights: op.Weights, MaxPerValue: int(p.State.ValueKB * 1000), RoundBudget: 2000,
+		RestartLimit: op.RestartLimit, BatchEvery: op.BatchInterval, Weights: op.Weights, MaxPerValue: int(state.ValueKB * 1000), RoundBudget: 2000,
 		Debug: slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	}
 	for _, t := range p.Teams {
@@ -92,10 +93,11 @@
 	conns := storeConns(p.Resources.MaxSockets)
 	nodes := float64(len(cfg.Peers) + 1)
 	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
-		Requests: p.State.RPS * userPart * 2 / nodes, Writes: max(leastWrites, p.State.WriteRPS*userPart/nodes),
+		Requests: state.RPS * userPart * 2 / nodes, Writes: max(min(leastWrites, state.WriteRPS/2/nodes), state.WriteRPS*userPart/nodes),
 		Contact: d.storeAnswered})
-	d.jobs = jobstore.New(d.store)
-	d.records = jobstore.New(d.store.Part(p.State.RPS*leadPart, p.State.WriteRPS*leadPart))
+	limits := jobstore.Limits{ValueBytes: d.core.MaxPerValue, TxnOps: state.TxnOps}
+	d.jobs = jobstore.New(d.store, limits)
+	d.records = jobstore.New(d.store.Part(state.RPS*leadPart, state.WriteRPS*leadPart), limits)
 	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*cloudPart)
 	d.orders = newOrderSender()
 	addrs := map[string]string{}
@@ -108,7 +110,8 @@
 	}
 	d.passer.peers = d.peers
 	d.passer.answered = func() { d.health.PeerAnswered(time.Now()) }
-	d.lead = leadership.New(d.store, leadership.Options{Member: cfg.Member, TTL: leaseTTL,
+	// Claims wait for nobody's part of the rates.
+	d.lead = leadership.New(d.store.Part(state.RPS, state.WriteRPS), leadership.Options{Member: cfg.Member, TTL: leaseTTL,
 		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf}})
 	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams}
 	d.agents = &agentapi.Service{Self: cfg.Member, Leader: agentLeader{d}}
--- a/internal/daemon/outside.go
+++ b/internal/daemon/outside.go
@@ -163,8 +163,13 @@
 	if err != nil {
 		return
 	}
+	v := wire.MustMarshal(wire.Flavors{Builds: flavors})
+	if size, err := wire.JSONSize(v); err != nil || size > d.core.MaxPerValue {
+		slog.Debug("machine types too many to share", "bytes", size, "error", err)
+		return
+	}
 	_, err = d.store.Commit(ctx, []wire.Condition{{Path: leadership.TermKey, Stamp: t.Stamp}},
-		[]wire.Change{{Put: catalogKey, V: wire.MustMarshal(wire.Flavors{Builds: flavors})}})
+		[]wire.Change{{Put: catalogKey, V: v}})
 	if err != nil {
 		slog.Debug("share machine types", "error", err)
 	}
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -92,6 +92,7 @@
 	g.Go(r.writeLoop)
 	g.Go(r.watchLoop)
 	g.Go(r.listLoop)
+	g.Go(r.askLoop)
 	return g.Wait()
 }
 
@@ -239,6 +240,10 @@
 		r.step(core.Written{Batch: sent, OK: true, Version: rev})
 		return true, nil
 	}
+	if errors.Is(err, statestore.ErrRefused) {
+		r.step(core.Refused{Write: sent[0]})
+		return true, nil
+	}
 	r.step(core.Written{Batch: sent, Seen: r.reread(sent)})
 	return false, err
 }
@@ -259,17 +264,64 @@
 	return seen
 }
 
-// refresh brings the engine what the store holds of a job.
-func (r *reign) refresh(ref string) {
-	st, err := r.d.records.Load(r.ctx, ref)
+// refresh brings the engine what the store holds of a job, if that can be had.
+func (r *reign) refresh(ref string) bool {
+	return r.learn(ref, r.d.records.Load)
+}
+
+func (r *reign) learn(ref string, load func(context.Context, string) (jobstore.State, error)) bool {
+	st, err := load(r.ctx, ref)
 	if err != nil || !st.Found {
-		return
+		return false
 	}
 	if st.Over {
 		r.step(core.JobFinal{Ref: ref, Final: st.Final})
-		return
+		return true
 	}
 	r.step(core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}})
+	return true
+}
+
+// stored brings the engine a job's record; false if the reign is over.
+func (r *reign) stored(it wire.StoreItem) bool {
+	for {
+		j, err := r.d.records.ReadJob(r.ctx, it)
+		if err == nil {
+			r.step(core.JobStored{Job: j})
+			return true
+		}
+		if errors.Is(err, wire.ErrMalformed) {
+			slog.Error("job record", "error", err)
+			return true
+		}
+		slog.Warn("job record", "error", err)
+		if !sleep(r.ctx, 200*time.Millisecond) {
+			return false
+		}
+	}
+}
+
+// askMost is how many jobs that others wait for are looked up at a time, askEvery
+// how often.
+const (
+	askMost  = 3
+	askEvery = 200 * time.Millisecond
+)
+
+// askLoop finds out what became of jobs that others wait for and that were over
+// before this reign.
+func (r *reign) askLoop() error {
+	for sleep(r.ctx, askEvery) {
+		r.mu.Lock()
+		refs := r.eng.Ask(askMost)
+		r.mu.Unlock()
+		for _, ref := range refs {
+			if !r.learn(ref, r.d.records.LoadOver) {
+				r.step(core.NotLearnt{Ref: ref})
+			}
+		}
+	}
+	return r.ctx.Err()
 }
 
 // watchLoop learns of new and cancelled jobs.
@@ -297,12 +349,9 @@
 			if ev.Put == "" {
 				continue
 			}
-			j, err := jobstore.DecodeJob(wire.StoreItem{Path: ev.Put, V: ev.V, Stamp: ev.Stamp})
-			if err != nil {
-				slog.Error("job record", "error", err)
-				continue
+			if !r.stored(wire.StoreItem{Path: ev.Put, V: ev.V, Stamp: ev.Stamp}) {
+				return r.ctx.Err()
 			}
-			r.step(core.JobStored{Job: j})
 		}
 		since = max(since, news.Ledger)
 	}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -22,12 +22,13 @@
 	"gingertally/internal/wire"
 )
 
-// Prefixes of keys: unfinished jobs, final entries, further done ranges, pages of
-// the start log and of the image log, and the records by machine that earlier versions kept instead.
+// Prefixes of keys: unfinished jobs, final entries, further done ranges, long lists
+// of the jobs that a job waits for, pages of the start log and of the image log, and the records by machine that earlier versions kept instead.
 const (
 	JobPrefix     = "j/"
 	finalPrefix   = "f/"
 	chunkPrefix   = "d/"
+	awaitPrefix   = "a/"
 	pagePrefix    = "s/"
 	imagePrefix   = "i/"
 	machinePrefix = "m/"
@@ -39,8 +40,16 @@
 	ErrUnknownJob = errors.New("unknown job")
 	ErrDeposed    = errors.New("the term is over")
 	ErrNotOurs    = errors.New("another node leads")
+	ErrParent     = errors.New("a job to wait for is unknown, a service or the job itself")
+	ErrTooLarge   = errors.New("too large to be stored")
 )
 
+// Limits are what the state service takes.
+type Limits struct {
+	ValueBytes int
+	TxnOps     int
+}
+
 // Store is what the job store needs of the state service.
 type Store interface {
 	Get(ctx context.Context, key string) (statestore.Item, bool, error)
@@ -50,14 +59,18 @@
 
 // Jobs is the job store.
 type Jobs struct {
-	store Store
+	store  Store
+	limits Limits
 
 	mu     sync.Mutex
 	finals map[string]pipeline.Final // final entries never change
+	known  map[string]bool           // jobs that were accepted and are no services, the same
 }
 
 // New makes a job store.
-func New(s Store) *Jobs { return &Jobs{store: s, finals: map[string]pipeline.Final{}} }
+func New(s Store, l Limits) *Jobs {
+	return &Jobs{store: s, limits: l, finals: map[string]pipeline.Final{}, known: map[string]bool{}}
+}
 
 // maxFinals bounds the final entries kept at hand.
 const maxFinals = 5_000
@@ -89,9 +102,23 @@
 	Final   pipeline.Final // if over
 }
 
-// Create writes a new job. ErrExists says that the job is known already.
-func (j *Jobs) Create(ctx context.Context, spec pipeline.Spec, now time.Time) error {
+// Create writes a new job that waits for others, which CheckParents has found.
+// ErrExists says that the job is known already.
+func (j *Jobs) Create(ctx context.Context, spec pipeline.Spec, awaits []string, now time.Time) error {
 	rec := pipeline.Record{Spec: spec, SubmittedMS: now.UnixMilli()}
+	if rec.Bytes() > j.limits.ValueBytes {
+		st, err := j.Load(ctx, spec.Ref) // accepted when values could be larger?
+		switch {
+		case err != nil:
+			return err
+		case st.Found:
+			return ErrExists
+		}
+		return ErrTooLarge
+	}
+	if err := j.putAwaits(ctx, &rec, awaits); err != nil {
+		return err
+	}
 	v, err := wire.Marshal(rec)
 	if err != nil {
 		return fmt.Errorf("job %s: %w", spec.Ref, err)
@@ -127,7 +154,19 @@
 		}
 		return st, nil
 	}
-	it, found, err = j.store.Get(ctx, finalPrefix+ref)
+	return j.loadFinal(ctx, ref)
+}
+
+// LoadOver reads a job that most likely is over.
+func (j *Jobs) LoadOver(ctx context.Context, ref string) (State, error) {
+	if st, err := j.loadFinal(ctx, ref); err != nil || st.Found {
+		return st, err
+	}
+	return j.Load(ctx, ref)
+}
+
+func (j *Jobs) loadFinal(ctx context.Context, ref string) (State, error) {
+	it, found, err := j.store.Get(ctx, finalPrefix+ref)
 	if err != nil || !found {
 		return State{}, err
 	}
@@ -166,7 +205,7 @@
 			return st, nil
 		}
 		st.Phase = pipeline.Cancelled
-		st.Record.Phase, st.Record.CancelledMS = pipeline.Cancelled, now.UnixMilli()
+		j.cancelled(&st.Record, now)
 		v, err := wire.Marshal(st.Record)
 		if err != nil {
 			return st, fmt.Errorf("job %s: %w", ref, err)
@@ -186,6 +225,17 @@
 	return State{}, fmt.Errorf("job %s: record keeps changing", ref)
 }
 
+// cancelled turns a job's record into that of a cancelled one. What no longer
+// matters is left out, the description too if the record was written when values
+// could be larger.
+func (j *Jobs) cancelled(r *pipeline.Record, now time.Time) {
+	r.Phase, r.CancelledMS = pipeline.Cancelled, now.UnixMilli()
+	r.Done, r.Restarts, r.Awaits = nil, nil, nil
+	if r.Bytes() > j.limits.ValueBytes {
+		r.Spec.Class, r.Spec.Image, r.Spec.Zone, r.Spec.Types = "", "", "", nil
+	}
+}
+
 // NobodyLeads is the guard of a cancellation while nobody leads.
 func NobodyLeads() wire.Condition { return wire.Condition{Path: leadership.HolderKey} }
 
@@ -194,13 +244,13 @@
 	return wire.Condition{Path: leadership.TermKey, Stamp: t.Stamp}
 }
 
-// DecodeJob turns a job's item into what the core takes.
-func DecodeJob(it statestore.Item) (core.StoredJob, error) {
+// ReadJob turns a job's item into what the core takes.
+func (j *Jobs) ReadJob(ctx context.Context, it statestore.Item) (core.StoredJob, error) {
 	s := core.StoredJob{Version: it.Stamp}
 	if err := wire.Unmarshal(it.V, &s.Record); err != nil {
 		return s, fmt.Errorf("%s: %w", it.Path, err)
 	}
-	return s, nil
+	return s, j.readAwaits(ctx, &s.Record)
 }
 
 // Snapshot reads all that a new leader needs, and the revision to watch on from.
@@ -240,7 +290,7 @@
 		byJob[ref][n] = runs
 	}
 	for _, it := range jobs {
-		s, err := DecodeJob(it)
+		s, err := j.ReadJob(ctx, it)
 		if err != nil {
 			return snap, 0, err
 		}
@@ -320,6 +370,9 @@
 		n++
 	}
 	rev, err := j.store.Commit(ctx, conds, changes)
+	if errors.Is(err, statestore.ErrRefused) && n > 1 {
+		return j.Apply(ctx, t, writes[:1]) // one that is refused mustn't stop the others
+	}
 	var conflict *statestore.ConflictError
 	if errors.As(err, &conflict) {
 		if slices.Contains(conflict.Failed, leadership.TermKey) {
@@ -356,6 +409,8 @@
 		return nil, []wire.Change{{Drop: imagePrefix + w.Name}}, nil
 	case core.DropChunk:
 		return nil, []wire.Change{{Drop: chunkKey(w)}}, nil
+	case core.DropAwaits:
+		return nil, []wire.Change{{Drop: awaitKey(w.Name, w.Sum, w.Chunk)}}, nil
 	}
 	return nil, nil, fmt.Errorf("unknown write %d", w.Kind)
 }
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -62,8 +62,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	j := New(m)
-	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 2, Types: []string{}}, time.Now()); err != nil {
+	j := New(m, Limits{ValueBytes: 4000, TxnOps: 8})
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 2, Types: []string{}}, nil, time.Now()); err != nil {
 		t.Fatal(err)
 	}
 	return m, j, leadership.Term{N: 1, Stamp: rev}
@@ -71,7 +71,7 @@
 
 func TestCreateOnce(t *testing.T) {
 	_, j, term := setup(t)
-	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 9}, time.Now()); !errors.Is(err, ErrExists) {
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 9}, nil, time.Now()); !errors.Is(err, ErrExists) {
 		t.Fatalf("second creation: %v", err)
 	}
 	st, err := j.Load(ctx, "j-1")
@@ -85,7 +85,7 @@
 	if _, _, err := j.Apply(ctx, term, []core.Write{final}); err != nil {
 		t.Fatal(err)
 	}
-	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 2}, time.Now()); !errors.Is(err, ErrExists) {
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-1", Tasks: 2}, nil, time.Now()); !errors.Is(err, ErrExists) {
 		t.Fatalf("creation of a job that is over: %v", err)
 	}
 	if st, err := j.Load(ctx, "j-1"); err != nil || !st.Over || st.Phase != pipeline.Done || st.Done != 2 {
@@ -124,7 +124,7 @@
 	if _, err := j.Cancel(ctx, "j-1", time.Now(), NobodyLeads()); err != nil {
 		t.Fatalf("repeating a cancellation: %v", err)
 	}
-	if err := j.Create(ctx, pipeline.Spec{Ref: "j-2", Tasks: 1}, time.Now()); err != nil {
+	if err := j.Create(ctx, pipeline.Spec{Ref: "j-2", Tasks: 1}, nil, time.Now()); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := j.Cancel(ctx, "j-2", time.Now(), NobodyLeads()); !errors.Is(err, ErrNotOurs) {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -127,7 +127,7 @@
 	}
 	answered := false
 	n.call(func() {
-		if err := j.w.jobstore.Create(bg, j.spec, j.w.now); err == nil || errors.Is(err, jobstore.ErrExists) {
+		if err := j.w.jobstore.Create(bg, j.spec, nil, j.w.now); err == nil || errors.Is(err, jobstore.ErrExists) {
 			answered = true
 		}
 	}, func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -92,7 +92,7 @@
 		cutZones: map[string]bool{}, apart: map[[2]string]bool{}, machines: map[string]*machine{}, jobs: map[string]*userJob{}}
 	w.now = w.start
 	w.store = &Store{w: w, items: map[string]*item{}}
-	w.jobstore = jobstore.New(w.store)
+	w.jobstore = jobstore.New(w.store, jobstore.Limits{ValueBytes: 4000, TxnOps: 8})
 	w.catalog = placement.Catalog{
 		"small": {Name: "small", CPUs: 4, MemGB: 16, CacheGB: 10, FetchGBPerS: 0.5, Hourly: 1, SpotHour: 0.4, Boot: 8 * time.Second, Zones: w.zones},
 		"large": {Name: "large", CPUs: 16, GPUs: 4, MemGB: 64, CacheGB: 10, FetchGBPerS: 1, Hourly: 6, SpotHour: 2, Boot: 10 * time.Second, Zones: w.zones},
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -24,6 +24,9 @@
 	ErrUnknown = errors.New("no answer from the state service")
 	// ErrNotFound says that a lease is over.
 	ErrNotFound = errors.New("not found")
+	// ErrRefused says that the request can never be executed as it stands: it is
+	// larger than the state service takes, say.
+	ErrRefused = errors.New("refused by the state service")
 	// ErrCompacted says that a watch starts too far back.
 	ErrCompacted = errors.New("watch too old")
 )
@@ -218,6 +221,8 @@
 		return res.Ledger, nil
 	case 409:
 		return 0, &ConflictError{Failed: res.Failed}
+	case 400:
+		return 0, fmt.Errorf("%w: commit: %.200s", ErrRefused, b)
 	}
 	return 0, unexpected("commit: "+string(b), st)
 }
--- a/internal/userapi/userapi.go
+++ b/internal/userapi/userapi.go
@@ -17,7 +17,8 @@
 
 // Jobs is the store of jobs.
 type Jobs interface {
-	Create(ctx context.Context, spec pipeline.Spec, now time.Time) error
+	CheckParents(ctx context.Context, ref string, awaits []string) error
+	Create(ctx context.Context, spec pipeline.Spec, awaits []string, now time.Time) error
 	Load(ctx context.Context, ref string) (jobstore.State, error)
 }
 
@@ -57,7 +58,7 @@
 
 // Submit accepts a job.
 func (s *Service) Submit(ctx context.Context, body []byte) Answer {
-	spec, err := wire.ParseSubmission(body)
+	spec, awaits, err := wire.ParseSubmission(body)
 	if err != nil {
 		return failure(400, err)
 	}
@@ -78,12 +79,16 @@
 		return failure(422, errNever)
 	}
 	spec.Types = knownTypes(spec.Types, catalog)
-	err = s.Jobs.Create(ctx, spec, time.Now())
+	if err = s.Jobs.CheckParents(ctx, spec.Ref, awaits); err == nil {
+		err = s.Jobs.Create(ctx, spec, awaits, time.Now())
+	}
 	switch {
 	case err == nil:
 		return Answer{Status: 201, Body: wire.State(spec.Ref, pipeline.Active, 0, 0)}
 	case errors.Is(err, jobstore.ErrExists):
 		return s.state(ctx, spec.Ref)
+	case errors.Is(err, jobstore.ErrParent), errors.Is(err, jobstore.ErrTooLarge):
+		return failure(422, err)
 	}
 	return later()
 }
--- a/internal/userapi/userapi_test.go
+++ b/internal/userapi/userapi_test.go
@@ -24,7 +24,22 @@
 
 var errDown = errors.New("store is down")
 
-func (w *world) Create(_ context.Context, s pipeline.Spec, _ time.Time) error {
+func (w *world) CheckParents(_ context.Context, ref string, awaits []string) error {
+	if w.down {
+		return errDown
+	}
+	for _, a := range awaits {
+		switch {
+		case w.jobs[ref].Found:
+			return jobstore.ErrExists
+		case !w.jobs[a].Found:
+			return jobstore.ErrParent
+		}
+	}
+	return nil
+}
+
+func (w *world) Create(_ context.Context, s pipeline.Spec, _ []string, _ time.Time) error {
 	if w.down {
 		return errDown
 	}
@@ -84,18 +99,26 @@
 		{"gang above the limit", map[string]any{"shape": "ensemble"}, 422},
 		{"known", map[string]any{"ref": "j-000002"}, 200},
 		// An accepted job must not be refused, whatever became of teams and types.
+		{"waits for a known job", map[string]any{"awaits": []string{"j-000002"}}, 201},
+		{"waits for nothing", map[string]any{"awaits": []string{}}, 201},
+		{"waits for null", map[string]any{"awaits": nil}, 201},
+		{"waits for an unknown job", map[string]any{"awaits": []string{"j-000002", "j-000003"}}, 422},
+		{"waits for what is no list", map[string]any{"awaits": "j-000002"}, 400},
+		{"waits for numbers", map[string]any{"awaits": []int{2}}, 400},
+		{"waits for null in a list", map[string]any{"awaits": []any{nil}}, 400},
+		{"known, whatever it now waits for", map[string]any{"ref": "j-000002", "awaits": []string{"j-000003"}}, 200},
 		{"known, now impossible", map[string]any{"ref": "j-000002", "owner": "u"}, 200},
 	} {
 		if a := s.Submit(ctx, submission(c.change)); a.Status != c.want {
 			t.Errorf("%s: %d, want %d", c.name, a.Status, c.want)
 		}
 	}
-	if len(w.created) != 1 || len(w.created[0].Types) != 1 {
+	if len(w.created) != 4 || len(w.created[0].Types) != 1 {
 		t.Fatalf("created %+v", w.created)
 	}
 	// What can't be stored isn't accepted, and the user is told when to come back.
 	w.down = true
-	for _, change := range []map[string]any{nil, {"owner": "u"}} {
+	for _, change := range []map[string]any{nil, {"owner": "u"}, {"awaits": []string{"j-000002"}}} {
 		if a := s.Submit(ctx, submission(change)); a.Status != 503 || !a.RetryAfter {
 			t.Errorf("store down: %+v", a)
 		}
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -4,8 +4,10 @@
 package wire
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -65,3 +67,26 @@
 // isMap tells whether b starts a CBOR map (major type 5): a decoder alone would
 // also take null for an empty struct.
 func isMap(b []byte) bool { return len(b) > 0 && b[0]>>5 == 5 }
+
+// JSONSize is what an encoded value takes in the JSON form that the protocol's
+// limits are counted in.
+func JSONSize(b []byte) (int, error) {
+	var v any
+	if err := jsonMode.Unmarshal(b, &v); err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	j, err := json.Marshal(v)
+	if err != nil {
+		return 0, fmt.Errorf("as JSON: %w", err)
+	}
+	return len(j), nil
+}
+
+// jsonMode decodes maps as JSON has them.
+var jsonMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, DefaultMapType: reflect.TypeFor[map[string]any]()}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -20,27 +20,27 @@
 
 // submission mirrors the body of POST /v2/runs; pointers tell absent from zero.
 type submission struct {
-	Ref      *string   `cbor:"ref"`
-	Class    *string   `cbor:"lot_kind"`
-	Team     *string   `cbor:"owner"`
-	Shape    *string   `cbor:"shape"`
-	Urgency  *string   `cbor:"urgency"`
-	Lots     *uint64   `cbor:"lots"`
-	VCPUs    *float64  `cbor:"vcpus"`
-	Cards    *float64  `cbor:"cards"`
-	MemGB    *float64  `cbor:"mem_gb"`
-	Kit      *string   `cbor:"kit"`
-	PullGB   *float64  `cbor:"pull_gb"`
-	Builds   []*string `cbor:"builds"`
-	Yard     *string   `cbor:"yard"`
-	OneZone  *bool     `cbor:"one_zone"`
-	Apart    *bool     `cbor:"apart"`
-	Loaners  *bool     `cbor:"loaners"`
-	GuessS   *float64  `cbor:"guess_s"`
-	MarkS    *float64  `cbor:"mark_s"`
-	StashS   *float64  `cbor:"stash_s"`
-	DueS     *float64  `cbor:"due_s"`
-	Pipeline Raw       `cbor:"pipeline"`
+	Ref     *string   `cbor:"ref"`
+	Class   *string   `cbor:"lot_kind"`
+	Team    *string   `cbor:"owner"`
+	Shape   *string   `cbor:"shape"`
+	Urgency *string   `cbor:"urgency"`
+	Lots    *uint64   `cbor:"lots"`
+	VCPUs   *float64  `cbor:"vcpus"`
+	Cards   *float64  `cbor:"cards"`
+	MemGB   *float64  `cbor:"mem_gb"`
+	Kit     *string   `cbor:"kit"`
+	PullGB  *float64  `cbor:"pull_gb"`
+	Builds  []*string `cbor:"builds"`
+	Yard    *string   `cbor:"yard"`
+	OneZone *bool     `cbor:"one_zone"`
+	Apart   *bool     `cbor:"apart"`
+	Loaners *bool     `cbor:"loaners"`
+	GuessS  *float64  `cbor:"guess_s"`
+	MarkS   *float64  `cbor:"mark_s"`
+	StashS  *float64  `cbor:"stash_s"`
+	DueS    *float64  `cbor:"due_s"`
+	Awaits  Raw       `cbor:"awaits"`
 }
 
 // maxAmount bounds amounts and durations, so that sums and conversions to
@@ -76,15 +76,39 @@
 	"production": pipeline.Production, "urgent": pipeline.High, "normal": pipeline.Normal, "idle": pipeline.Low,
 }
 
-// ParseSubmission decodes and checks a submitted job. Every error is ErrMalformed.
-func ParseSubmission(body []byte) (pipeline.Spec, error) {
+// parseAwaits reads the list of jobs that have to be done first, each named once.
+func parseAwaits(v Raw) ([]string, error) {
+	if len(v) == 0 {
+		return nil, nil
+	}
+	var refs []*string
+	if err := Unmarshal(v, &refs); err != nil {
+		return nil, fmt.Errorf("%w: awaits is no list of job ids", ErrMalformed)
+	}
+	var out []string
+	seen := make(map[string]bool, len(refs))
+	for _, r := range refs {
+		if r == nil {
+			return nil, fmt.Errorf("%w: awaits is no list of job ids", ErrMalformed)
+		}
+		if !seen[*r] {
+			seen[*r] = true
+			out = append(out, *r)
+		}
+	}
+	return out, nil
+}
+
+// ParseSubmission decodes and checks a submitted job, and which jobs have to be done
+// before it. Every error is ErrMalformed.
+func ParseSubmission(body []byte) (pipeline.Spec, []string, error) {
 	var none pipeline.Spec
 	if len(body) > MaxBody || !isMap(body) {
-		return none, fmt.Errorf("%w: not a map within the size limit", ErrMalformed)
+		return none, nil, fmt.Errorf("%w: not a map within the size limit", ErrMalformed)
 	}
 	var m submission
 	if err := Unmarshal(body, &m); err != nil {
-		return none, err
+		return none, nil, err
 	}
 	var s pipeline.Spec
 	var errs []error
@@ -141,10 +165,12 @@
 	if m.DueS != nil {
 		s.Deadline = seconds(num("due_s", m.DueS, false))
 	}
+	awaits, err := parseAwaits(m.Awaits)
+	try(err)
 	if len(errs) > 0 {
-		return none, errs[0]
+		return none, nil, errs[0]
 	}
-	return s, nil
+	return s, awaits, nil
 }
 
 // RunState is the answer to a user about a job.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -16,7 +16,7 @@
 }
 
 func TestParseSubmission(t *testing.T) {
-	if s, err := ParseSubmission(MustMarshal(good())); err != nil || s.Tasks != 16 || s.Types[0] != "g8" || s.Deadline.Seconds() != 900 {
+	if s, _, err := ParseSubmission(MustMarshal(good())); err != nil || s.Tasks != 16 || s.Types[0] != "g8" || s.Deadline.Seconds() != 900 {
 		t.Fatalf("good submission: %+v, %v", s, err)
 	}
 	change := func(field string, v any) []byte {
@@ -37,7 +37,7 @@
 		"most tasks":     change("lots", MaxTasks),
 		"long reference": change("ref", "j-1234567"),
 	} {
-		if _, err := ParseSubmission(body); err != nil {
+		if _, _, err := ParseSubmission(body); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -68,7 +68,7 @@
 		"types not a list": change("builds", "g8"),
 		"type null":        change("builds", []any{nil}),
 	} {
-		if _, err := ParseSubmission(body); !errors.Is(err, ErrMalformed) {
+		if _, _, err := ParseSubmission(body); !errors.Is(err, ErrMalformed) {
 			t.Errorf("%s: error %v", name, err)
 		}
 	}
