Random worlds with pipelines, a rolling upgrade and lower limits

The worlds play chains, diamonds and fans, cancelled at any moment; the version in production is modelled by what it reads and writes back, and replaced node by node while leaders fall; the state service lowers its limits.

--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -134,6 +134,9 @@
 	if r.Spec.Tasks <= 0 {
 		return nil, fmt.Errorf("job %s: record without tasks", r.Spec.Ref)
 	}
+	if r.Held() && len(r.Awaits) == 0 {
+		return nil, fmt.Errorf("job %s: record without the jobs that it waits for", r.Spec.Ref)
+	}
 	j := &Job{Spec: r.Spec, Submitted: time.UnixMilli(r.SubmittedMS), phase: r.Phase, written: r.Phase, Version: version,
 		Tasks: make([]Task, r.Spec.Tasks), dirty: map[int]bool{}, BadOn: map[string]bool{}}
 	if r.CancelledMS != 0 {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -152,7 +152,7 @@
 		for i := 1; i < len(st.Record.Done); i += 2 {
 			st.Done += st.Record.Done[i]
 		}
-		return st, nil
+		return st, j.readAwaits(ctx, &st.Record)
 	}
 	return j.loadFinal(ctx, ref)
 }
--- /dev/null
+++ b/internal/standin/lines.go
@@ -0,0 +1,179 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gingertally/internal/core/pipeline"
+)
+
+// lines are pipelines of jobs that wait for each other: chains, diamonds, fans and
+// whatever luck brings. It draws luck of its own, so that the other worlds of the
+// same seed stay what they are.
+type lines struct {
+	w   *World
+	rng *rand.Rand
+	n   int // jobs so far
+}
+
+func newLines(w *World) *lines {
+	l := &lines{w: w, rng: rand.New(rand.NewPCG(w.o.Seed, 13))}
+	begin := time.Duration(0)
+	if w.o.Roll {
+		begin = l.roll()
+	}
+	if w.o.Lower {
+		w.after(l.between(begin, w.o.Length), w.store.lower)
+	}
+	for range w.o.Lines {
+		w.after(l.between(begin, begin+w.o.Length/2), l.start)
+	}
+	return l
+}
+
+func (l *lines) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(l.rng.Int64N(int64(hi-lo)+1))
+}
+
+// roll replaces the version in production, node by node, and returns when nothing
+// of it is left. Whatever else crashes meanwhile comes back as it was, and half of
+// the time the leader falls too, so that the versions take turns at leading.
+func (l *lines) roll() time.Duration {
+	at := l.between(5*time.Second, 30*time.Second)
+	for _, i := range l.rng.Perm(len(l.w.nodes)) {
+		n := l.w.nodes[i]
+		l.w.after(at, func() {
+			n.old = false
+			n.crash(l.between(10*time.Millisecond, 4*time.Second))
+		})
+		if l.rng.IntN(2) == 0 {
+			l.w.after(at+l.between(time.Second, 6*time.Second), l.leaderFalls)
+		}
+		at += l.between(4*time.Second, 12*time.Second)
+	}
+	return at
+}
+
+func (l *lines) leaderFalls() {
+	for _, n := range l.w.nodes {
+		if n.entitled() {
+			n.crash(l.between(10*time.Millisecond, 2*time.Second))
+		}
+	}
+}
+
+// needs says which of the jobs before it each job of a pipeline needs.
+func (l *lines) needs(shape, i, n int) []int {
+	switch {
+	case i == 0:
+		return nil
+	case shape == 0: // a chain
+		return []int{i - 1}
+	case shape == 1 && i < n-1: // a fan, and a diamond once the last one gathers it
+		return []int{0}
+	case shape == 1:
+		all := make([]int, 0, n)
+		for k := 1; k < n-1; k++ {
+			all = append(all, k)
+		}
+		return all
+	case shape == 2: // a fan of which nothing is gathered
+		return []int{0}
+	}
+	var some []int
+	for k := range i {
+		if l.rng.IntN(3) == 0 {
+			some = append(some, k)
+		}
+	}
+	return some
+}
+
+// start has a user submit a pipeline, each job as soon as those that it needs are
+// accepted, and some the last only when all others are over.
+func (l *lines) start() {
+	shape, n := l.rng.IntN(4), 2+l.rng.IntN(6)
+	if shape == 2 && l.rng.IntN(4) == 0 {
+		n = 40 // a wide one
+	}
+	late := l.rng.IntN(8) == 0
+	var jobs []*userJob
+	for i := range n {
+		j := l.job(i == n-1)
+		for _, k := range l.needs(shape, i, n) {
+			j.needs = append(j.needs, jobs[k])
+		}
+		if l.rng.IntN(6) == 0 {
+			j.needs = append(j.needs, l.stranger()...)
+		}
+		jobs = append(jobs, j)
+		l.w.jobs[j.spec.Ref] = j
+	}
+	for i, j := range jobs {
+		l.submit(j, late && i == n-1, jobs[:i])
+	}
+	if l.rng.IntN(3) == 0 {
+		j := jobs[l.rng.IntN(len(jobs))]
+		l.w.after(l.between(0, l.w.o.Length/3), func() { l.cancel(j) })
+	}
+}
+
+// job is one job of a pipeline, most of them small.
+func (l *lines) job(last bool) *userJob {
+	l.n++
+	j := &userJob{w: l.w, done: map[int]bool{}, run: l.between(time.Second, 8*time.Second), mistake: l.rng.IntN(40) == 0}
+	s := &j.spec
+	s.Ref, s.Class, s.Team = fmt.Sprintf("j-9%05d", l.n), "c", "green"
+	if l.rng.IntN(3) == 0 {
+		s.Team = "blue"
+	}
+	s.Image, s.ImageGB = fmt.Sprintf("img-%d", l.rng.IntN(3)), 1
+	s.Tasks, s.CPUs, s.MemGB, s.Spot = 1+l.rng.IntN(3), 1, 1, l.rng.IntN(2) == 0
+	s.Priority = pipeline.Priority(l.rng.IntN(4))
+	if l.rng.IntN(4) == 0 {
+		s.Shape = pipeline.Gang
+	}
+	s.Estimate = j.run
+	if last {
+		s.Deadline = l.between(20*time.Second, 2*time.Minute)
+	}
+	j.wantsCancel = j.mistake
+	return j
+}
+
+// stranger is a job outside the pipeline that one of it may need too.
+func (l *lines) stranger() []*userJob {
+	for range 5 {
+		ref := fmt.Sprintf("j-%06d", l.rng.IntN(max(1, l.w.o.Jobs))*7919%100003)
+		if o := l.w.jobs[ref]; o != nil && o.accepted && o.spec.Shape != pipeline.Service {
+			return []*userJob{o}
+		}
+	}
+	return nil
+}
+
+// submit submits a job once those that it needs are accepted, or over if it is late.
+func (l *lines) submit(j *userJob, late bool, others []*userJob) {
+	for _, p := range j.needs {
+		if !p.accepted {
+			l.w.after(l.between(100*time.Millisecond, time.Second), func() { l.submit(j, late, others) })
+			return
+		}
+	}
+	for _, p := range others {
+		if late && p.told == pipeline.Active && l.w.now.Sub(l.w.start) < l.w.o.Length {
+			l.w.after(time.Second, func() { l.submit(j, late, others) })
+			return
+		}
+	}
+	j.submit()
+}
+
+func (l *lines) cancel(j *userJob) {
+	if !j.accepted {
+		l.w.after(time.Second, func() { l.cancel(j) })
+		return
+	}
+	j.cancel()
+}
--- /dev/null
+++ b/internal/standin/production.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// What the version in production (deploy/service.toml) reads of jobs, and so writes
+// back; anything else in their records is lost to it. Its rules of leading, placing
+// and answering are those of the present version for jobs that wait for nothing,
+// and it keeps the present limits of the state service, not the coming ones.
+
+type productionSpec struct {
+	Ref        string            `cbor:"ref"`
+	Class      string            `cbor:"cl"`
+	Team       string            `cbor:"tm"`
+	Shape      pipeline.Shape    `cbor:"sh"`
+	Priority   pipeline.Priority `cbor:"pr"`
+	Tasks      int               `cbor:"n"`
+	CPUs       float64           `cbor:"c"`
+	GPUs       float64           `cbor:"g"`
+	MemGB      float64           `cbor:"m"`
+	Image      string            `cbor:"im"`
+	ImageGB    float64           `cbor:"ig"`
+	Types      []string          `cbor:"ty"`
+	Zone       string            `cbor:"zo,omitempty"`
+	OneZone    bool              `cbor:"oz,omitempty"`
+	Spread     bool              `cbor:"sp,omitempty"`
+	Spot       bool              `cbor:"so,omitempty"`
+	Estimate   time.Duration     `cbor:"es"`
+	Checkpoint time.Duration     `cbor:"ck,omitempty"`
+	Save       time.Duration     `cbor:"sv,omitempty"`
+	Deadline   time.Duration     `cbor:"dl,omitempty"`
+}
+
+type productionRecord struct {
+	Spec        productionSpec `cbor:"s"`
+	SubmittedMS int64          `cbor:"at"`
+	Phase       pipeline.Phase `cbor:"p"`
+	CancelledMS int64          `cbor:"ca,omitempty"`
+	Done        []int          `cbor:"d,omitempty"`
+	Restarts    []int          `cbor:"r,omitempty"`
+}
+
+type productionFinal struct {
+	Phase pipeline.Phase `cbor:"p"`
+	Tasks int            `cbor:"n"`
+}
+
+// productionView is the state service as the version in production sees it.
+type productionView struct{ *Store }
+
+func (v productionView) read(it statestore.Item) statestore.Item {
+	var as any
+	switch {
+	case strings.HasPrefix(it.Path, "j/"):
+		as = &productionRecord{}
+	case strings.HasPrefix(it.Path, "f/"):
+		as = &productionFinal{}
+	default:
+		return it
+	}
+	if err := wire.Unmarshal(it.V, as); err != nil {
+		v.w.check.fail("the version in production can't read %s: %v", it.Path, err)
+	}
+	it.V = wire.MustMarshal(as)
+	return it
+}
+
+// Get reads a key.
+func (v productionView) Get(ctx context.Context, key string) (statestore.Item, bool, error) {
+	it, found, err := v.Store.Get(ctx, key)
+	if found {
+		it = v.read(it)
+	}
+	return it, found, err
+}
+
+// List reads a range.
+func (v productionView) List(ctx context.Context, prefix string) ([]statestore.Item, uint64, error) {
+	items, rev, err := v.Store.List(ctx, prefix)
+	for i := range items {
+		items[i] = v.read(items[i])
+	}
+	return items, rev, err
+}
+
+// storeView is the state service as the node's version sees it.
+func (n *node) storeView() jobstore.Store {
+	if n.old {
+		return productionView{n.w.store}
+	}
+	return n.w.store
+}
+
+// limits are those of the state service that the node's version obeys.
+func (n *node) limits() jobstore.Limits {
+	if n.w.o.Lower && !n.old {
+		return lowLimits
+	}
+	return highLimits
+}
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// pipelines are the options of a world with pipelines, most of them begun by the
+// version in production.
+func pipelines(seed uint64) Options {
+	o := options(seed, seed%4 != 0)
+	o.Lines, o.Jobs, o.Roll, o.Lower = 12, 8, seed%3 != 0, seed%2 == 0
+	o.Falls = seed%5 == 0
+	return o
+}
+
+// TestPipelines plays worlds in which jobs wait for each other: chains, diamonds
+// and fans, cancelled at any moment, with all troubles, the state service lowering
+// its limits, and the version in production being replaced while it serves.
+func TestPipelines(t *testing.T) {
+	started, done, doomed := 0, 0, 0
+	for seed := range uint64(120) {
+		w := NewWorld(pipelines(5000 + seed))
+		if err := w.Run(); err != nil {
+			t.Error(err)
+		}
+		started, done, doomed = started+w.Started(), done+w.Done(), doomed+w.Doomed()
+	}
+	if started < 8000 || done < 3000 || doomed < 300 {
+		t.Errorf("the worlds did too little to prove anything: %d starts, %d jobs done, %d cancelled with others", started, done, doomed)
+	}
+}
+
 // TestSeed plays the one world of TestTroubles that STANDIN_SEED names, and
 // logs what its controllers say.
 func TestSeed(t *testing.T) {
@@ -71,6 +97,9 @@
 	if o.Falls = os.Getenv("STANDIN_FALLS") != ""; o.Falls {
 		o.Jobs = 20
 	}
+	if os.Getenv("STANDIN_LINES") != "" {
+		o = pipelines(seed)
+	}
 	w := NewWorld(o)
 	w.Trace = func(at time.Duration, node, text string, args []any) {
 		t.Log(at.Seconds(), node, text, args)
@@ -92,6 +121,9 @@
 			t.Parallel()
 			o := options(10_000+seed, true)
 			o.Falls = os.Getenv("STANDIN_FALLS") != ""
+			if os.Getenv("STANDIN_LINES") != "" {
+				o = pipelines(10_000 + seed)
+			}
 			if err := NewWorld(o).Run(); err != nil {
 				t.Error(err)
 			}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -4,7 +4,9 @@
 	"context"
 	"sort"
 	"strings"
+	"time"
 
+	"gingertally/internal/jobstore"
 	"gingertally/internal/statestore"
 	"gingertally/internal/wire"
 )
@@ -16,6 +18,50 @@
 	items map[string]*item
 	rev   uint64
 	down  bool
+	low   bool // the lower limits hold
+	// what is left of the writes that it takes, and as of when
+	room  float64
+	since time.Time
+}
+
+// Limits of the state service at first, and once it has lowered them.
+var (
+	highLimits = jobstore.Limits{ValueBytes: 4000, TxnOps: 8}
+	lowLimits  = jobstore.Limits{ValueBytes: 1000, TxnOps: 3}
+)
+
+// lowWrites is how many changes a second the state service then takes.
+const lowWrites = 12
+
+func (s *Store) lower() { s.low = true }
+
+// takes tells whether the changes are within the limits.
+func (s *Store) takes(changes []wire.Change) error {
+	limits := highLimits
+	if s.low {
+		limits = lowLimits
+	}
+	if len(changes) > limits.TxnOps {
+		return statestore.ErrRefused
+	}
+	for _, c := range changes {
+		if c.Drop != "" {
+			continue
+		}
+		if n, err := wire.JSONSize(c.V); err != nil || n > limits.ValueBytes*1024/1000 {
+			return statestore.ErrRefused
+		}
+	}
+	if !s.low {
+		return nil
+	}
+	s.room = min(lowWrites, s.room+lowWrites*s.w.now.Sub(s.since).Seconds())
+	s.since = s.w.now
+	if s.room < float64(len(changes)) {
+		return statestore.ErrUnavailable
+	}
+	s.room -= float64(len(changes))
+	return nil
 }
 
 type item struct {
@@ -55,6 +101,9 @@
 	if s.down {
 		return 0, statestore.ErrUnavailable
 	}
+	if err := s.takes(changes); err != nil {
+		return 0, err
+	}
 	var failed []string
 	for _, c := range conds {
 		var have uint64
