--- /dev/null
+++ b/internal/config/next_test.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+// The lower of the present and the coming limits of the state service holds from
+// the start; each coming one may be missing, and what is too low is refused by name.
+func TestLowestLimits(t *testing.T) {
+	for _, c := range []struct {
+		next, refused string
+		want          State
+	}{
+		{`null`, "", State{RPS: 60, WriteRPS: 20, ValueKB: 4, TxnOps: 12}},
+		{`{}`, "", State{RPS: 60, WriteRPS: 20, ValueKB: 4, TxnOps: 12}},
+		{`{"value_kb": 1, "txn_ops": 2, "write_rps": 1, "new": 5}`, "", State{RPS: 60, WriteRPS: 1, ValueKB: 1, TxnOps: 2}},
+		{`{"value_kb": 16, "txn_ops": 32, "write_rps": 15, "rps": 50}`, "", State{RPS: 50, WriteRPS: 15, ValueKB: 4, TxnOps: 12}},
+		{`{"value_kb": 0.5}`, "settings.state.next.value_kb", State{}},
+		{`{"txn_ops": 1}`, "settings.state.next.txn_ops", State{}},
+		{`{"write_rps": 0}`, "settings.state.next.write_rps", State{}},
+	} {
+		text := strings.Replace(good, `"txn_ops":12`, `"txn_ops":12,"next":`+c.next, 1)
+		s, err := Parse([]byte(text))
+		switch {
+		case c.refused != "":
+			if err == nil || !strings.Contains(err.Error(), c.refused) {
+				t.Errorf("%s: %v", c.next, err)
+			}
+		case err != nil:
+			t.Errorf("%s: %v", c.next, err)
+		case s.Params.State.Lowest() != c.want:
+			t.Errorf("%s: %+v", c.next, s.Params.State.Lowest())
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/dependents_test.go
@@ -0,0 +1,223 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// after is a job that waits for others.
+func after(ref string, awaits ...string) StoredJob {
+	j := job(ref, 1)
+	j.Record.Awaits = awaits
+	return j
+}
+
+// finish has a machine report the end of what it was told to start.
+func (b *bench) finish(machine string, c fleet.Command) Reply {
+	return b.report(machine, b.e.term, fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseDone})
+}
+
+// A job starts only once the store holds that the job before it is done: until
+// then a user may still be told that that one is cancelled.
+func TestStartsOnceTheParentIsStored(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{after("j-2", "j-1"), job("j-1", 1)}})
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	s := starts(b.report("m-1", 2))
+	if len(s) != 1 || s[0].Ref != "j-1" {
+		t.Fatalf("started %v", s)
+	}
+	b.report("m-1", 2, running(s[0]))
+	b.finish("m-1", s[0])
+	b.pass(3*time.Second, false)
+	if j := b.e.jobs["j-2"]; j.Phase() != pipeline.Held {
+		t.Fatal("let go before the store held that the job before it is done")
+	}
+	b.pass(time.Second, true)
+	if s := starts(b.report("m-1", 2)); len(s) != 1 || s[0].Ref != "j-2" {
+		t.Fatalf("not started afterwards: %v", s)
+	}
+}
+
+// A job that waits takes no place, asks for no room and counts towards nothing.
+func TestHeldJobTakesNothing(t *testing.T) {
+	held := after("j-2", "j-1")
+	held.Record.Spec.Tasks, held.Record.Spec.Priority = 50, pipeline.Production
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{held, job("j-1", 1)}})
+	b.up("m-1")
+	b.pass(10*time.Second, true)
+	if len(b.e.demand) != 0 || b.e.teamUse["t"].CPUs != 1 {
+		t.Fatalf("demand %v, in use %v", b.e.demand, b.e.teamUse["t"])
+	}
+	if v, ok := b.e.Lookup("j-2"); !ok || v.Phase != pipeline.Active || v.Running != 0 {
+		t.Fatalf("told as %+v, %v", v, ok)
+	}
+}
+
+func (b *bench) ended(ref string) (f pipeline.Final, ok bool) {
+	for _, w := range b.e.Batch(b.now, 50) {
+		if w.Kind == WriteFinal && w.Name == ref {
+			return w.Final, true
+		}
+	}
+	return f, false
+}
+
+// A cancellation reaches all that need the job at once, though its own tasks are
+// still on a machine that is silent, and though some come only afterwards: waiting
+// for the tasks' end would leave them queued for longer than their users accept.
+func TestCancelReachesAllAtOnce(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1), after("j-2", "j-1"), after("j-3", "j-2"), after("j-4", "j-1", "j-3")}})
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	s := starts(b.report("m-1", 2))
+	b.report("m-1", 2, running(s[0]))
+	c := job("j-1", 1)
+	c.Version, c.Record.Phase, c.Record.CancelledMS = 900, pipeline.Cancelled, b.now.UnixMilli()
+	b.e.Step(b.now, JobStored{c})
+	b.e.Step(b.now, JobStored{after("j-5", "j-4")})
+	for _, ref := range []string{"j-2", "j-3", "j-4", "j-5"} {
+		if f, ok := b.ended(ref); !ok || f.Phase != pipeline.Cancelled {
+			t.Errorf("%s isn't being cancelled", ref)
+		}
+		if _, ok := b.e.Lookup(ref); ok {
+			t.Errorf("%s is told of before the store holds it", ref)
+		}
+	}
+	if _, ok := b.ended("j-1"); ok {
+		t.Error("j-1 is over with a task on a machine")
+	}
+}
+
+// A new leader asks what became of jobs that are over, and comes to the same as the
+// last one, wherever that stopped.
+func TestNewLeaderAsks(t *testing.T) {
+	b := newBench(t, 3, Snapshot{Jobs: []StoredJob{after("j-2", "j-1"), after("j-3", "j-2"), after("j-5", "j-4")}})
+	if a := b.e.Ask(9); len(a) != 2 || a[0] != "j-1" || a[1] != "j-4" {
+		t.Fatalf("asks for %v", a)
+	}
+	b.e.Step(b.now, NotLearnt{"j-1"})
+	if a := b.e.Ask(9); len(a) != 1 || a[0] != "j-1" {
+		t.Fatalf("asks again for %v", a)
+	}
+	end := b.now.Add(-time.Minute).Truncate(time.Millisecond)
+	b.e.Step(b.now, JobFinal{Ref: "j-1", Final: pipeline.Final{Phase: pipeline.Done, EndMS: end.UnixMilli()}})
+	if j := b.e.jobs["j-2"]; j.Phase() != pipeline.Active || !j.Since.Equal(end) {
+		t.Fatalf("phase %d since %v", j.Phase(), j.Since)
+	}
+	b.e.Step(b.now, JobFinal{Ref: "j-4", Final: pipeline.Final{Phase: pipeline.Cancelled}})
+	if f, ok := b.ended("j-5"); !ok || f.Phase != pipeline.Cancelled {
+		t.Fatal("j-5 isn't being cancelled")
+	}
+	if b.e.jobs["j-3"].Phase() != pipeline.Held {
+		t.Fatal("j-3 doesn't wait")
+	}
+}
+
+// The results of a job that had been let go before the leader changed count, though
+// the new leader hasn't yet learnt that it was.
+func TestResultsOfAJobLetGoBefore(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{after("j-1", "j-0")}, Pages: []StoredPage{page("1-1", "m-1", 1<<attemptBits)}})
+	b.report("m-1", 0, fleet.TaskReport{Ref: "j-1", Attempt: 1 << attemptBits, State: fleet.Running})
+	b.finish("m-1", fleet.Command{Ref: "j-1", Attempt: 1 << attemptBits})
+	if f, ok := b.ended("j-1"); !ok || f.Phase != pipeline.Done {
+		t.Fatalf("%+v, %v", f, ok)
+	}
+}
+
+// Work goes first whose line ends in urgent work, and of equally urgent work that
+// whose line is due first.
+func TestLineGoesByItsLastJob(t *testing.T) {
+	cfg := config()
+	cfg.Aims = map[string][]Aim{"last": {{Kind: AimDeadline, Times: 1}}}
+	jobs := []StoredJob{job("j-1", 1), job("j-2", 1), job("j-3", 1), after("j-8", "j-2"), after("j-9", "j-3")}
+	for i := range jobs {
+		s := &jobs[i].Record.Spec
+		s.Priority, s.Estimate = pipeline.Low, 10*time.Second
+		jobs[i].Record.SubmittedMS = time.Unix(5000, 0).UnixMilli()
+		if i > 2 {
+			s.Class, s.Priority, s.Deadline = "last", pipeline.High, time.Duration(300-50*i)*time.Second
+		}
+	}
+	b := newBenchWith(t, cfg, 2, Snapshot{Jobs: jobs})
+	b.e.layFloor(b.now)
+	var order []string
+	for _, turn := range b.e.ranked(b.now) {
+		order = append(order, turn.Job.Ref)
+	}
+	if len(order) != 3 || order[0] != "j-3" || order[1] != "j-2" || order[2] != "j-1" {
+		t.Fatalf("order %v", order)
+	}
+}
+
+// A write that the store refuses for its size doesn't stop the others, and isn't
+// sent again as it was: what was on the page goes to smaller ones.
+func TestRefusedWriteIsMadeSmaller(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 60)}})
+	for i := range 8 {
+		b.up("m-" + string(rune('1'+i)))
+	}
+	b.pass(5*time.Second, false)
+	largest, started := 0, map[int]bool{}
+	for i := range 60 {
+		for k := range 8 {
+			if i%10 == 0 {
+				for _, c := range starts(b.report("m-"+string(rune('1'+k)), 2)) {
+					started[c.Task] = true
+				}
+			}
+		}
+		b.now = b.now.Add(200 * time.Millisecond)
+		b.e.Step(b.now, Tick{})
+		batch := b.e.Batch(b.now, 10)
+		b.e.Step(b.now, Sending{batch})
+		for _, w := range batch {
+			entries := 0
+			for _, p := range w.Page.Placed {
+				entries += len(p.Entries)
+			}
+			if w.Kind == WritePage && entries > 10 {
+				largest = max(largest, entries)
+				b.e.Step(b.now, Refused{w})
+				continue
+			}
+			b.e.Step(b.now, Written{Batch: []Write{w}, OK: true, Version: 100})
+		}
+	}
+	if largest == 0 || len(started) != 60 {
+		t.Fatalf("largest page refused: %d; %d of 60 started", largest, len(started))
+	}
+}
+
+// Starts and jobs' ends take turns at the store: neither waits for the other for
+// long when it takes few changes at a time.
+func TestStartsAndEndsTakeTurns(t *testing.T) {
+	e := New(time.Unix(0, 0), config(), 1, Snapshot{}, rand.New(rand.NewPCG(1, 1)))
+	for i := range 20 {
+		ref := "j-" + string(rune('a'+i))
+		e.addJob(time.Unix(0, 0), job(ref, 1))
+		e.jobs[ref].Finish(0)
+		e.jobs[ref].Settle()
+		p := fleet.NewPage(ref, 0)
+		p.Dirty = true
+		e.writes.addPage(p)
+		e.writes.pageChanged(p)
+	}
+	seen := map[WriteKind]int{}
+	for range 2 {
+		batch := e.Batch(time.Unix(1, 0), 2)
+		if changes(batch) > 2 {
+			t.Fatalf("%d changes in a batch of two", changes(batch))
+		}
+		for _, w := range batch {
+			seen[w.Kind]++
+		}
+	}
+	if seen[WriteFinal] != 1 || seen[WritePage] != 2 {
+		t.Fatalf("two batches of two changes held %v", seen)
+	}
+}
--- /dev/null
+++ b/internal/jobstore/awaits_test.go
@@ -0,0 +1,257 @@
+package jobstore
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// A job may wait for jobs that were accepted, whatever became of them, and for
+// nothing else; a job that is known was accepted with the list it had then.
+func TestCheckParents(t *testing.T) {
+	m, j, term := setup(t)
+	for ref, shape := range map[string]pipeline.Shape{"j-2": pipeline.Array, "j-3": pipeline.Service} {
+		if err := j.Create(ctx, pipeline.Spec{Ref: ref, Tasks: 1, Shape: shape}, nil, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	st, err := j.Load(ctx, "j-2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := j.Apply(ctx, term, []core.Write{{Kind: core.WriteFinal, Name: "j-2", Version: st.Version, Final: pipeline.Final{Phase: pipeline.Cancelled}}}); err != nil {
+		t.Fatal(err)
+	}
+	many := []string{"j-1", "j-2", "j-1", "j-1", "j-1", "j-1", "j-1", "j-1", "j-2"}
+	for _, c := range []struct {
+		ref    string
+		awaits []string
+		want   error
+	}{
+		{"j-5", nil, nil},
+		{"j-5", []string{"j-1", "j-2"}, nil},
+		{"j-5", []string{"j-1", "j-4"}, ErrParent},
+		{"j-5", []string{"j-3"}, ErrParent},
+		{"j-5", []string{"j-5"}, ErrParent},
+		{"j-5", []string{"nonsense"}, ErrParent},
+		{"j-1", []string{"j-4"}, ErrExists},
+		{"j-2", []string{"j-2"}, ErrExists},
+		{"j-5", many, nil},
+		{"j-5", append(many[:9:9], "j-4"), ErrParent},
+		{"j-5", append(many[:9:9], "j-3"), ErrParent},
+	} {
+		fresh := New(m, Limits{ValueBytes: 4000, TxnOps: 2}) // knows nothing yet
+		if err := fresh.CheckParents(ctx, c.ref, c.awaits); !errors.Is(err, c.want) || c.want == nil && err != nil {
+			t.Errorf("%s after %v: %v, want %v", c.ref, c.awaits, err, c.want)
+		}
+	}
+}
+
+// failing lets some writes through and fails the rest.
+type failing struct {
+	*memory
+	left int
+}
+
+func (f *failing) Commit(c context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	if f.left--; f.left < 0 {
+		return 0, statestore.ErrUnavailable
+	}
+	return f.memory.Commit(c, conds, changes)
+}
+
+// A list of any length is taken whole or not at all: a job counts as accepted only
+// once all its pages are stored, each within the limit, and a retry goes on where
+// the last try stopped.
+func TestLongListIsTakenWholeOrNotAtAll(t *testing.T) {
+	m := &memory{items: map[string]statestore.Item{}}
+	limits := Limits{ValueBytes: 1000, TxnOps: 2}
+	var refs []string
+	for i := range 4000 {
+		refs = append(refs, fmt.Sprintf("j-%06d", i))
+	}
+	tries := 0
+	for err := error(statestore.ErrUnavailable); err != nil; tries++ {
+		if st, err := New(m, limits).Load(ctx, "j-9"); err != nil || st.Found {
+			t.Fatalf("half accepted: %+v, %v", st, err)
+		}
+		err = New(&failing{m, 7}, limits).Create(ctx, pipeline.Spec{Ref: "j-9", Tasks: 1}, refs, time.Now())
+		if err != nil && !errors.Is(err, statestore.ErrUnavailable) || tries > 10 {
+			t.Fatalf("try %d: %v", tries, err)
+		}
+	}
+	if tries < 2 {
+		t.Fatal("the list fits one try: nothing was tested")
+	}
+	for k, it := range m.items {
+		if n, err := wire.JSONSize(it.V); err != nil || n > 1024 {
+			t.Errorf("%s takes %d bytes, %v", k, n, err)
+		}
+	}
+	snap, _, err := New(m, limits).Snapshot(ctx)
+	if err != nil || len(snap.Jobs) != 1 || !slices.Equal(snap.Jobs[0].Record.Awaits, refs) {
+		t.Fatalf("read back %d jobs, %v", len(snap.Jobs), err)
+	}
+}
+
+// What is written fits the limit, however ragged a job's progress and long its
+// texts, and a result that was left out counts as not stored.
+func TestValuesFit(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	for _, limit := range []int{1000, 2000, 4000} {
+		for range 40 {
+			spec := pipeline.Spec{Ref: "j-123456", Class: strings.Repeat("c\"", 1+rng.IntN(10)), Team: "tea<m", Image: "i", Tasks: 1 + rng.IntN(5000),
+				CPUs: rng.Float64() * 1e7, MemGB: rng.Float64(), ImageGB: rng.Float64(), Estimate: time.Duration(rng.Int64N(1e17)), Save: time.Duration(rng.Int64N(1e17))}
+			j, err := pipeline.NewJob(pipeline.Record{Spec: spec, SubmittedMS: time.Now().UnixMilli()}, 1, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range spec.Tasks {
+				if rng.IntN(2) == 0 {
+					j.Finish(i)
+				}
+				for range rng.IntN(3) {
+					j.Abort(time.Now(), i, 3)
+				}
+			}
+			rec := j.Record(limit)
+			write := []any{rec}
+			chunks := map[int][]int{}
+			for c := 1; c*pipeline.ChunkTasks < spec.Tasks; c++ {
+				chunks[c] = pipeline.FitRuns(j.Chunk(c), limit)
+				write = append(write, chunks[c])
+				j.Clean(c, chunks[c])
+			}
+			j.Clean(0, rec.Done)
+			for _, v := range write {
+				if n, err := wire.JSONSize(wire.MustMarshal(v)); err != nil || n > limit {
+					t.Fatalf("limit %d: a value of %d bytes, %v", limit, n, err)
+				}
+			}
+			again, err := pipeline.NewJob(rec, 2, chunks)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range j.Tasks {
+				stored := again.Tasks[i].State() == pipeline.Finished
+				if j.Tasks[i].State() == pipeline.Finished && j.Stored(i) && !stored || stored && j.Tasks[i].State() != pipeline.Finished {
+					t.Fatalf("limit %d: task %d of %d is stored %v, and taken for %v", limit, i, spec.Tasks, stored, j.Stored(i))
+				}
+			}
+		}
+	}
+}
+
+// A job whose record was written when values could be larger can still be
+// cancelled, and is still known when it is submitted again.
+func TestLargeRecordsFromBefore(t *testing.T) {
+	m := &memory{items: map[string]statestore.Item{}}
+	spec := pipeline.Spec{Ref: "j-1", Class: strings.Repeat("c", 200), Team: "t", Image: strings.Repeat("i", 200), Tasks: 2000}
+	for i := range 20 {
+		spec.Types = append(spec.Types, fmt.Sprintf("a-type-with-a-long-name-%d", i))
+	}
+	if err := New(m, Limits{ValueBytes: 4000, TxnOps: 8}).Create(ctx, spec, nil, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	low := New(m, Limits{ValueBytes: 1000, TxnOps: 2})
+	if err := low.Create(ctx, spec, nil, time.Now()); !errors.Is(err, ErrExists) {
+		t.Fatalf("submitted again: %v", err)
+	}
+	spec.Ref = "j-2"
+	if err := low.Create(ctx, spec, nil, time.Now()); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("submitted now: %v", err)
+	}
+	if _, err := low.Cancel(ctx, "j-1", time.Now(), NobodyLeads()); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := wire.JSONSize(m.items["j/j-1"].V); err != nil || n > 1000 {
+		t.Fatalf("the cancelled record takes %d bytes, %v", n, err)
+	}
+}
+
+// One write that the store refuses doesn't stop those that go with it.
+func TestRefusedWriteIsSentAlone(t *testing.T) {
+	m, j, term := setup(t)
+	r := &refusing{m}
+	batch := []core.Write{{Kind: core.WriteImages, Name: "bad"}, {Kind: core.WriteImages, Name: "good"}}
+	sent, _, err := New(r, j.limits).Apply(ctx, term, batch)
+	if !errors.Is(err, statestore.ErrRefused) || len(sent) != 1 || sent[0].Name != "bad" {
+		t.Fatalf("sent %v, %v", sent, err)
+	}
+	if sent, _, err = New(r, j.limits).Apply(ctx, term, batch[1:]); err != nil || len(sent) != 1 {
+		t.Fatalf("sent %v, %v", sent, err)
+	}
+}
+
+type refusing struct{ *memory }
+
+func (r *refusing) Commit(c context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	for _, ch := range changes {
+		if ch.Put == "i/bad" {
+			return 0, statestore.ErrRefused
+		}
+	}
+	return r.memory.Commit(c, conds, changes)
+}
+
+// Records as the version in production wrote them (production.go.txt says how they
+// were made) are read as they were meant, and what is written for jobs that wait
+// for nothing is what that version writes, to the byte.
+func TestRecordsOfTheVersionInProduction(t *testing.T) {
+	m := &memory{items: map[string]statestore.Item{}}
+	for _, line := range productionLines(t) {
+		key, v, _ := strings.Cut(line, " ")
+		b, err := hex.DecodeString(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.items[key] = statestore.Item{Path: key, V: b, Stamp: 7}
+	}
+	j := New(m, Limits{ValueBytes: 4000, TxnOps: 8})
+	snap, _, err := j.Snapshot(ctx)
+	if err != nil || len(snap.Jobs) != 2 || len(snap.Pages) != 2 || len(snap.Images) != 1 {
+		t.Fatalf("%+v, %v", snap, err)
+	}
+	for _, s := range snap.Jobs {
+		if s.Record.Held() {
+			t.Errorf("%s waits", s.Record.Spec.Ref)
+		}
+		job, err := pipeline.NewJob(s.Record, s.Version, s.Chunks)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if back := wire.MustMarshal(job.Record(4000)); !slices.Equal(back, m.items["j/"+job.Ref].V) {
+			t.Errorf("%s is written back as %x", job.Ref, back)
+		}
+	}
+	for ref, want := range map[string]pipeline.Phase{"j-000003": pipeline.Done, "j-000004": pipeline.Cancelled} {
+		st, err := j.Load(ctx, ref)
+		if err != nil || !st.Over || st.Phase != want {
+			t.Errorf("%s: %+v, %v", ref, st, err)
+		}
+		if back := wire.MustMarshal(st.Final); !slices.Equal(back, m.items["f/"+ref].V) {
+			t.Errorf("%s is written as %x", ref, back)
+		}
+	}
+}
+
+func productionLines(t *testing.T) []string {
+	t.Helper()
+	b, err := os.ReadFile("testdata/production.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(strings.TrimSpace(string(b)), "\n")
+}
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,15 +34,20 @@
 			out = append(out, it)
 		}
 	}
+	slices.SortFunc(out, func(a, b statestore.Item) int { return strings.Compare(a.Path, b.Path) })
 	return out, m.rev, nil
 }
 
 func (m *memory) Commit(_ context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	var failed []string
 	for _, c := range conds {
 		if m.items[c.Path].Stamp != c.Stamp {
-			return 0, &statestore.ConflictError{Failed: []string{c.Path}}
+			failed = append(failed, c.Path)
 		}
 	}
+	if failed != nil {
+		return 0, &statestore.ConflictError{Failed: failed}
+	}
 	m.rev++
 	for _, c := range changes {
 		if c.Drop != "" {
