--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -52,7 +52,7 @@
 	looked := 0
 	lowest, teams := e.runningWork()
 	b := &placement.Board{
-		Now: now, Turns: e.ranked(now), Floor: &e.floor, SecondsPerDollarHour: e.cfg.Weights.SecondsPerDollarHour, GangSlack: max(0, e.cfg.GangWait-e.cfg.ReportEvery*5/4),
+		Now: now, Turns: e.ranked(now), Floor: &e.floor, SecondsPerDollarHour: e.cfg.Weights.SecondsPerDollarHour, ReportEvery: e.cfg.ReportEvery, GangSlack: max(0, e.cfg.GangWait-e.cfg.ReportEvery*5/4),
 		Team:    func(name string) placement.Team { return e.cfg.Teams[name] },
 		Usage:   func(team string) fleet.Amount { return e.teamUse[team] },
 		InZones: func(ref string) map[string]int { return e.useOf(ref).zones },
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -150,6 +150,7 @@
 	Confirmed              bool      // has reported with this term's token, or never held anything of an earlier term
 	LastHeard              time.Time // when its newest report arrived
 	LeaseBase              time.Time // no 200 was sent to it after this
+	AnswerHeld             bool      // what is placed now goes with the answer to its last report
 	FirstSeen              time.Time
 	ListedAt               time.Time
 	IdleSince              time.Time
@@ -202,6 +203,15 @@
 	return true
 }
 
+// AnswerIn is after how long the machine's next report is expected, whose answer
+// can start something there.
+func (m *Machine) AnswerIn(now time.Time, every time.Duration) time.Duration {
+	if m.AnswerHeld {
+		return 0
+	}
+	return max(0, every-now.Sub(m.LastHeard))
+}
+
 // Newer tells whether a report is newer than all seen of this machine. A worker's
 // token, session and sequence only rise, until it starts anew and counts from
 // one: only the token then tells its reports from late copies of former ones.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -169,13 +169,14 @@
 const fullerSeconds = 10.0
 
 // Score ranks slots for a task; the lowest is best. It adds up the time until
-// the image is there, what the place costs, and how much of the machine is free,
-// so that room stays whole and machines empty out.
-func Score(now time.Time, s *Slot, j *pipeline.Job, secondsPerDollarHour float64) float64 {
+// the machine can be told and the image is there, what the place costs, and how
+// much of the machine is free, so that room stays whole and machines empty out.
+func Score(now time.Time, s *Slot, j *pipeline.Job, secondsPerDollarHour float64, reportEvery time.Duration) float64 {
 	sp := &j.Spec
 	score := (Share(s.Type, sp) + waste(s, sp)) * s.Type.Price(s.Spot) * secondsPerDollarHour
 	if s.Machine != nil {
 		score += s.Machine.FetchLeft(now, sp.Image, sp.ImageGB, s.Type.FetchGBPerS).Seconds()
+		score += s.Machine.AnswerIn(now, reportEvery).Seconds()
 	}
 	score += fullerSeconds * s.CPUs / s.Type.CPUs
 	if s.Machine != nil && s.Machine.Errors > 0 {
@@ -224,6 +225,7 @@
 	Preempts func(by *pipeline.Job) bool
 	// SecondsPerDollarHour weighs a dearer place against time lost on fetching.
 	SecondsPerDollarHour float64
+	ReportEvery          time.Duration
 	// GangSlack is by how much the fetches of a gang's tasks may differ.
 	GangSlack time.Duration
 	// Waits is for how many jobs that have no room this round keeps or makes some;
@@ -314,7 +316,7 @@
 	var out []scored
 	b.Floor.EachOpen(&j.Spec, zone, func(s *Slot) {
 		if !s.held(b.Now) && !j.BadOn[s.Machine.Name] {
-			out = append(out, scored{s, Score(b.Now, s, j, b.SecondsPerDollarHour)})
+			out = append(out, scored{s, Score(b.Now, s, j, b.SecondsPerDollarHour, b.ReportEvery)})
 		}
 	})
 	sort.SliceStable(out, func(i, k int) bool { return out[i].score < out[k].score })
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -209,3 +209,25 @@
 		t.Fatalf("%d placed in %d rounds", len(b.placed), rounds)
 	}
 }
+
+// A start waits for the machine's next report: of places that are alike, that one is
+// taken whose report is due first, or whose answer is being held. Stages of pipelines
+// once began half a report period late each.
+func TestNearestReportFirst(t *testing.T) {
+	now := time.Unix(100, 0)
+	var machines []*fleet.Machine
+	for i, ago := range []time.Duration{time.Second, 7 * time.Second, 4 * time.Second} {
+		m := machine([]string{"m-1", "m-2", "m-3"}[i], "cpu", "a")
+		m.LastHeard = now.Add(-ago)
+		machines = append(machines, m)
+	}
+	for _, want := range []string{"m-2", "m-1"} {
+		b := newBoard(t, []*pipeline.Job{job(t, pipeline.Spec{Ref: "j-1", Tasks: 1, CPUs: 1})}, machines...)
+		b.ReportEvery = 8 * time.Second
+		new(Round).Run(&b.Board)
+		if len(b.placed) != 1 || b.placed[0].Slot.Machine.Name != want {
+			t.Errorf("placed %+v, want %s", b.placed, want)
+		}
+		machines[0].AnswerHeld = true
+	}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -38,7 +38,7 @@
 	// would otherwise wait for the worker's next report.
 	soon := m.Busy() < busy || e.fresh(now, m)
 	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: soon && e.mayStart(m)}
-	if !e.out.Reply.Hold {
+	if m.AnswerHeld = e.out.Reply.Hold; !m.AnswerHeld {
 		e.out.Reply.Commands = e.commands(now, m)
 	}
 	m.LeaseBase = now
@@ -92,7 +92,7 @@
 		return // a newer report has come; only its answer may start anything
 	}
 	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: e.holdAgain(now, m)}
-	if !e.out.Reply.Hold {
+	if m.AnswerHeld = e.out.Reply.Hold; !m.AnswerHeld {
 		e.out.Reply.Commands = e.commands(now, m)
 	}
 }
