Jobs cancelled with others are written first, the rest in the order of their ends

Cause: final entries were written in the order of names, and at the lower rate a job with a high number waited 66 s. Test: TestCancelledWithOthersAreWrittenFirst.

--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -221,3 +222,25 @@
 		t.Fatalf("two batches of two changes held %v", seen)
 	}
 }
+
+// Of jobs that are over, those cancelled with others are written first, and then
+// those that have waited longest. By name, those with high numbers once stayed queued
+// for over a minute at a low rate of writes, among others that kept ending.
+func TestCancelledWithOthersAreWrittenFirst(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1), job("j-2", 1), job("j-5", 1), after("j-9", "j-8")}})
+	for _, ref := range []string{"j-5", "j-1", "j-2"} {
+		j := b.e.jobs[ref]
+		delete(b.e.writes.jobs, j)
+		j.Finish(0)
+		j.Settle()
+		b.e.writes.jobChanged(j)
+	}
+	b.e.Step(b.now, JobFinal{Ref: "j-8", Final: pipeline.Final{Phase: pipeline.Cancelled}})
+	var order []string
+	for _, w := range b.e.Batch(b.now, 20) {
+		order = append(order, w.Name)
+	}
+	if want := []string{"j-9", "j-5", "j-1", "j-2"}; !slices.Equal(order, want) {
+		t.Fatalf("written in the order %v, want %v", order, want)
+	}
+}
--- a/internal/core/writes.go
+++ b/internal/core/writes.go
@@ -54,16 +54,17 @@
 	fresh     []*fleet.Attempt // decided, but on no page yet
 	open      *fleet.Page      // the page that takes new attempts
 	dirty     map[*fleet.Page]bool
-	jobs      map[*pipeline.Job]bool // may have something to be written
-	lastJob   map[string]time.Time   // when a job's record was last written
-	cleanup   []chunkRef             // done ranges of jobs that are over
+	jobs      map[*pipeline.Job]int // may have something to be written, by since when
+	counter   int                   // of those
+	lastJob   map[string]time.Time  // when a job's record was last written
+	cleanup   []chunkRef            // done ranges of jobs that are over
 	tidied    time.Time
 	endsFirst bool // whose turn it is
 }
 
 func (q *writeQueue) init() {
 	q.pages, q.dirty = map[string]*fleet.Page{}, map[*fleet.Page]bool{}
-	q.jobs, q.lastJob = map[*pipeline.Job]bool{}, map[string]time.Time{}
+	q.jobs, q.lastJob = map[*pipeline.Job]int{}, map[string]time.Time{}
 }
 
 func (q *writeQueue) addPage(p *fleet.Page) { q.pages[p.Name] = p }
@@ -76,7 +77,12 @@
 	}
 }
 
-func (q *writeQueue) jobChanged(j *pipeline.Job) { q.jobs[j] = true }
+func (q *writeQueue) jobChanged(j *pipeline.Job) {
+	if _, waits := q.jobs[j]; !waits {
+		q.counter++
+		q.jobs[j] = q.counter
+	}
+}
 
 // jobOver notes that the store holds a job's final entry.
 func (q *writeQueue) jobOver(j *pipeline.Job) {
@@ -178,9 +184,11 @@
 }
 
 // jobsToWrite are the jobs that are over, and those of which progress is due to
-// be written, that which has waited longest first.
+// be written. Of the former those come first that are cancelled with others: their
+// users are told nothing until that is written, and can't be told for long that
+// they wait. Otherwise what has waited longest comes first.
 func (e *Engine) jobsToWrite(now time.Time) (ends, progress []*pipeline.Job) {
-	for _, j := range sortedJobs(e.writes.jobs) {
+	for j := range e.writes.jobs {
 		switch {
 		case e.over(j):
 			ends = append(ends, j)
@@ -190,12 +198,30 @@
 			progress = append(progress, j)
 		}
 	}
-	sort.SliceStable(progress, func(i, k int) bool {
-		return e.writes.lastJob[progress[i].Ref].Before(e.writes.lastJob[progress[k].Ref])
+	since := e.writes.jobs
+	sort.Slice(ends, func(i, k int) bool {
+		a, b := ends[i], ends[k]
+		if derived(a) != derived(b) {
+			return derived(a)
+		}
+		return since[a] < since[b]
+	})
+	sort.Slice(progress, func(i, k int) bool {
+		a, b := progress[i], progress[k]
+		if at, bt := e.writes.lastJob[a.Ref], e.writes.lastJob[b.Ref]; !at.Equal(bt) {
+			return at.Before(bt)
+		}
+		return since[a] < since[b]
 	})
 	return ends, progress
 }
 
+// derived tells whether a job is cancelled with one that it needs, and the store
+// doesn't hold that yet.
+func derived(j *pipeline.Job) bool {
+	return j.Phase() == pipeline.Cancelled && j.Written() != pipeline.Cancelled
+}
+
 // endWrites put final entries in the place of jobs' records.
 func (e *Engine) endWrites(now time.Time, out []Write, ends []*pipeline.Job, most int) []Write {
 	for _, j := range ends {
