--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -18,9 +18,6 @@
 	"gingertally/internal/operator"
 )
 
-// version of the program.
-const version = "0.2.0"
-
 type cli struct {
 	Serve       serveCmd       `cmd:"" default:"withargs" help:"Run a controller with the platform's settings file."`
 	CheckConfig checkConfigCmd `cmd:"" name:"check-config" help:"Check the settings files without starting anything."`
@@ -79,7 +76,7 @@
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
-	fmt.Println("gingertally", version)
+	fmt.Println("gingertally", daemon.Version)
 	return nil
 }
 
--- a/cmd/gingertally/status.go
+++ b/cmd/gingertally/status.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -50,6 +52,9 @@
 	}
 	fmt.Fprintf(w, "leader\t%s\n", leader)
 	fmt.Fprintf(w, "told by\t%s, %s, serves users: %v\n", s.Node, s.Role, s.Serves)
+	for _, name := range slices.Sorted(maps.Keys(s.Versions)) {
+		fmt.Fprintf(w, "version\t%s %s\n", name, s.Versions[name])
+	}
 	l := s.Leading
 	if l == nil {
 		fmt.Fprintln(w, "\nThe leader can't be asked.")
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"gingertally/internal/core/fleet"
@@ -81,12 +83,32 @@
 				continue
 			}
 			s.Waiting = append(s.Waiting, WaitingJob{Ref: j.Ref, Class: j.Class, Team: j.Team, Waiting: j.Count(pipeline.Waiting),
-				Tasks: len(j.Tasks), Since: now.Sub(j.Submitted), Reason: e.reason(now, j, s.Settled)})
+				Tasks: len(j.Tasks), Since: now.Sub(j.Since), Reason: e.reason(now, j, s.Settled)})
+		}
+	}
+	for _, j := range e.order {
+		if j.Phase() != pipeline.Held {
+			continue
+		}
+		if s.Waits++; s.Waits <= statusJobs {
+			s.Waiting = append(s.Waiting, WaitingJob{Ref: j.Ref, Class: j.Class, Team: j.Team, Waiting: len(j.Tasks),
+				Tasks: len(j.Tasks), Since: now.Sub(j.Submitted), Reason: awaiting(j.Awaits())})
 		}
 	}
 	return s
 }
 
+// awaiting says which jobs one waits for.
+func awaiting(refs []string) string {
+	if more := len(refs) - awaitingMost; more > 0 {
+		return fmt.Sprintf("waits for %s and %d more", strings.Join(refs[:awaitingMost], ", "), more)
+	}
+	return "waits for " + strings.Join(refs, ", ")
+}
+
+// awaitingMost is how many jobs are named that one waits for.
+const awaitingMost = 5
+
 func poolLess(a, b *PoolStatus) bool {
 	if a.Type != b.Type {
 		return a.Type < b.Type
--- a/internal/core/status_test.go
+++ b/internal/core/status_test.go
@@ -26,7 +26,7 @@
 	large.Record.Spec.CPUs = 8
 	cfg := config()
 	cfg.Teams["small"] = placement.Team{CPUsMax: 4}
-	b := newBenchWith(t, cfg, 2, Snapshot{Jobs: []StoredJob{limited, failing, large}})
+	b := newBenchWith(t, cfg, 2, Snapshot{Jobs: []StoredJob{limited, failing, large, after("j-4", "j-1", "j-9")}})
 	if r := waiting(t, b, "j-1"); r != ReasonTakeover {
 		t.Errorf("at the takeover: %s", r)
 	}
@@ -47,8 +47,11 @@
 	if r := waiting(t, b, "j-2"); r != ReasonPause {
 		t.Errorf("after a bad exit: %s", r)
 	}
+	if r := waiting(t, b, "j-4"); r != "waits for j-1, j-9" {
+		t.Errorf("behind others: %s", r)
+	}
 	s := b.e.Status(b.now)
-	if s.Term != 2 || !s.Settled || s.Active != 3 || len(s.Pools) != 1 || s.Pools[0].States["live"] != 1 {
+	if s.Term != 2 || !s.Settled || s.Active != 4 || len(s.Pools) != 1 || s.Pools[0].States["live"] != 1 {
 		t.Errorf("status %+v", s)
 	}
 	if b.e.jobs["j-2"].Phase() != pipeline.Active {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
-	slog.Info("serving", "member", d.cfg.Member, "clients", d.cfg.ClientListen, "peers", d.cfg.PeerListen)
+	slog.Info("serving", "version", Version, "member", d.cfg.Member, "clients", d.cfg.ClientListen, "peers", d.cfg.PeerListen)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.serveHTTP(ctx, clients) })
 	g.Go(func() error { return peer.Serve(ctx, peers, d.relayed) })
