--- a/internal/jobstore/awaits.go
+++ b/internal/jobstore/awaits.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"strings"
 
+	"golang.org/x/sync/errgroup"
+
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/statestore"
 	"gingertally/internal/wire"
@@ -51,16 +53,22 @@
 	if len(left) > fewParents {
 		return j.checkMany(ctx, left)
 	}
+	g, ctx := errgroup.WithContext(ctx) // side by side: some answers take long
 	for _, a := range left {
-		st, err := j.Load(ctx, a)
-		switch {
-		case err != nil:
-			return err
-		case !st.Found || st.Record.Spec.Shape == pipeline.Service:
-			return ErrParent
-		}
-		j.know(a)
+		g.Go(func() error { return j.checkOne(ctx, a) })
+	}
+	return g.Wait()
+}
+
+func (j *Jobs) checkOne(ctx context.Context, ref string) error {
+	st, err := j.Load(ctx, ref)
+	switch {
+	case err != nil:
+		return err
+	case !st.Found || st.Record.Spec.Shape == pipeline.Service:
+		return ErrParent
 	}
+	j.know(ref)
 	return nil
 }
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -130,6 +130,9 @@
 	if errors.As(err, &conflict) {
 		return ErrExists
 	}
+	if err == nil && spec.Shape != pipeline.Service {
+		j.know(spec.Ref) // its user may name it next
+	}
 	return err
 }
 
