--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,9 +60,24 @@
 	cloudPart = 0.85 // only the leader uses the cloud, but for the machine types
 )
 
+// A user submits the jobs of a pipeline one after another, mostly at one node: its
+// writes may come in bursts of what it has left over for so many seconds, up to a
+// part of what the state service takes at once.
+const (
+	burstFor  = 4.0
+	burstPart = 0.3
+)
+
 // leastWrites is how many writes a second a node's users have at the least.
 const leastWrites = 1.5
 
+// userWrites is how many changes a second one node's users may cause, and how many
+// at once.
+func userWrites(rate, nodes float64) (each float64, burst int) {
+	each = max(min(leastWrites, rate/2/nodes), rate*userPart/nodes)
+	return each, int(min(each*burstFor, rate*burstPart))
+}
+
 // leaseTTL is how long a leader's right lasts without renewal. Shorter ones
 // give false changes when a node falls behind, longer ones leave the workers
 // without an owner after a crash.
@@ -92,8 +107,9 @@
 	}
 	conns := storeConns(p.Resources.MaxSockets)
 	nodes := float64(len(cfg.Peers) + 1)
-	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns,
-		Requests: state.RPS * userPart * 2 / nodes, Writes: max(min(leastWrites, state.WriteRPS/2/nodes), state.WriteRPS*userPart/nodes),
+	writes, burst := userWrites(state.WriteRPS, nodes)
+	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns, Requests: state.RPS * userPart * 2 / nodes,
+		Writes: writes, Burst: burst,
 		Contact: d.storeAnswered})
 	limits := jobstore.Limits{ValueBytes: d.core.MaxPerValue, TxnOps: state.TxnOps}
 	d.jobs = jobstore.New(d.store, limits)
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -52,6 +52,7 @@
 type Options struct {
 	Addr             string
 	Requests, Writes float64 // this node's part of the rates, per second
+	Burst            int     // of writes at once
 	MaxConns         int
 	// Contact is told of each answer: whether the request was served. It may be nil.
 	Contact func(served bool)
@@ -73,7 +74,7 @@
 		http:    host(callTimeout, o.MaxConns),
 		watch:   host(watchBlock+3*time.Second, 4),
 		reqs:    rate.NewLimiter(rate.Limit(o.Requests), max(4, int(o.Requests/2))),
-		changes: rate.NewLimiter(rate.Limit(o.Writes), max(4, int(o.Writes))),
+		changes: rate.NewLimiter(rate.Limit(o.Writes), max(4, o.Burst)),
 	}
 }
 
