--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -282,17 +283,21 @@
 	return true
 }
 
-// stored brings the engine a job's record; false if the reign is over.
+// stored brings the engine a job's record, or, where that can't be completed any
+// more since the job has moved on, what the store now holds; false if the reign is
+// over.
 func (r *reign) stored(it wire.StoreItem) bool {
 	for {
 		j, err := r.d.records.ReadJob(r.ctx, it)
-		if err == nil {
+		switch {
+		case err == nil:
 			r.step(core.JobStored{Job: j})
 			return true
-		}
-		if errors.Is(err, wire.ErrMalformed) {
+		case errors.Is(err, wire.ErrMalformed):
 			slog.Error("job record", "error", err)
 			return true
+		case r.refresh(strings.TrimPrefix(it.Path, jobstore.JobPrefix)):
+			return true
 		}
 		slog.Warn("job record", "error", err)
 		if !sleep(r.ctx, 200*time.Millisecond) {
--- a/internal/jobstore/awaits_test.go
+++ b/internal/jobstore/awaits_test.go
@@ -106,6 +106,39 @@
 	}
 }
 
+// A record that a watch brings late can't be completed once its job is over and the
+// pages of its list are dropped: what the store now holds says so. Reading the record
+// again and again once would have kept a leader from all later news.
+func TestLateRecordOfAJobThatIsOver(t *testing.T) {
+	m, j, term := setup(t)
+	low := New(m, Limits{ValueBytes: 700, TxnOps: 3})
+	refs := make([]string, 100)
+	for i := range refs {
+		refs[i] = fmt.Sprintf("j-%06d", i)
+	}
+	if err := low.Create(ctx, pipeline.Spec{Ref: "j-9", Tasks: 1}, refs, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	late := m.items["j/j-9"]
+	s, err := j.ReadJob(ctx, late)
+	if err != nil || len(s.Record.Awaits) != 100 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	writes := []core.Write{{Kind: core.WriteFinal, Name: "j-9", Version: late.Stamp, Final: pipeline.Final{Phase: pipeline.Cancelled}}}
+	for i := range s.Record.AwaitPages {
+		writes = append(writes, core.Write{Kind: core.DropAwaits, Name: "j-9", Sum: s.Record.AwaitSum, Chunk: i})
+	}
+	if sent, _, err := j.Apply(ctx, term, writes); err != nil || len(sent) != len(writes) {
+		t.Fatal(err)
+	}
+	if _, err := j.ReadJob(ctx, late); err == nil || errors.Is(err, wire.ErrMalformed) {
+		t.Fatalf("the late record is complete: %v", err)
+	}
+	if st, err := j.Load(ctx, "j-9"); err != nil || !st.Over {
+		t.Fatalf("%+v, %v", st, err)
+	}
+}
+
 // What is written fits the limit, however ragged a job's progress and long its
 // texts, and a result that was left out counts as not stored.
 func TestValuesFit(t *testing.T) {
