--- a/internal/core/fleet/imagelog.go
+++ b/internal/core/fleet/imagelog.go
@@ -34,23 +34,31 @@
 )
 
 // RecordImages puts what is known of some machines into a record that takes no
-// more than so many bytes; machines beyond that are left out.
+// more than so many bytes; machines beyond that are left out. Of the first machine
+// there is something in any case: its images that were used last.
 func RecordImages(has map[string][]Image, maxBytes int) ImageRecord {
 	var r ImageRecord
 	index := map[string]int{}
-	size := 0
-	for _, name := range sortedNames(has) {
-		takes := hereBytes + len(name) + indexBytes*len(has[name])
-		for _, i := range has[name] {
+	takes := func(name string, images []Image) int {
+		n := hereBytes + len(name) + indexBytes*len(images)
+		for _, i := range images {
 			if _, known := index[i.Name]; !known {
-				takes += sizeBytes + len(i.Name)
+				n += sizeBytes + len(i.Name)
 			}
 		}
-		if size += takes; size > maxBytes {
+		return n
+	}
+	size := 0
+	for _, name := range sortedNames(has) {
+		images := has[name]
+		for len(r.Machines) == 0 && len(images) > 0 && takes(name, images) > maxBytes {
+			images = images[1:]
+		}
+		if size += takes(name, images); size > maxBytes && len(r.Machines) > 0 {
 			break
 		}
 		here := ImagesHere{Machine: name}
-		for _, i := range has[name] {
+		for _, i := range images {
 			at, known := index[i.Name]
 			if !known {
 				at = len(r.Images)
--- a/internal/core/imagelog.go
+++ b/internal/core/imagelog.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"gingertally/internal/core/fleet"
@@ -89,19 +91,46 @@
 
 // imagesChanged notes that what is known of a machine's images has changed.
 func (e *Engine) imagesChanged(m *fleet.Machine) {
-	l := &e.images
-	p := l.of[m.Name]
+	p := e.images.of[m.Name]
 	if p == nil {
-		if l.open == nil || len(l.open.machines) >= e.pageMachines() {
-			e.counter++
-			l.open = l.page(fmt.Sprintf("%d-%d", e.term, e.counter))
-		}
-		p = l.open
-		l.put(m.Name, p)
+		p = e.pageImages(m.Name)
 	}
 	p.dirty = true
 }
 
+// pageImages puts a machine on a page that has room.
+func (e *Engine) pageImages(machine string) *imagePage {
+	l := &e.images
+	if l.open == nil || len(l.open.machines) >= e.pageMachines() {
+		e.counter++
+		l.open = l.page(fmt.Sprintf("%d-%d", e.term, e.counter))
+	}
+	l.put(machine, l.open)
+	return l.open
+}
+
+// crowdedOut moves machines for which a page had no room to others, such as those
+// of a page from before values became smaller.
+func (e *Engine) crowdedOut(p *imagePage, written fleet.ImageRecord) {
+	l := &e.images
+	if len(written.Machines) == len(p.machines) {
+		return
+	}
+	in := map[string]bool{}
+	for _, h := range written.Machines {
+		in[h.Machine] = true
+	}
+	if l.open == p {
+		l.open = nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.machines)) {
+		if !in[name] {
+			delete(p.machines, name)
+			e.pageImages(name).dirty = true
+		}
+	}
+}
+
 // imagesGone forgets a machine that is gone.
 func (e *Engine) imagesGone(machine string) {
 	if p := e.images.of[machine]; p != nil {
@@ -146,7 +175,9 @@
 			has[name] = l.left[name]
 		}
 	}
-	return append(out, Write{Kind: WriteImages, Name: next.name, Images: fleet.RecordImages(has, e.cfg.MaxPerValue*9/10)})
+	rec := fleet.RecordImages(has, e.cfg.MaxPerValue*9/10)
+	e.crowdedOut(next, rec)
+	return append(out, Write{Kind: WriteImages, Name: next.name, Images: rec})
 }
 
 // imagesSent notes that a page's present content is on its way; imagesWritten
--- a/internal/core/images_test.go
+++ b/internal/core/images_test.go
@@ -213,3 +213,47 @@
 		t.Fatal("held by a leader that falls behind")
 	}
 }
+
+// A page of the image log from before values became smaller is split: none of its
+// machines is lost to the next leader, nor is one with more images than a page takes.
+func TestOverfullImagePageIsSplit(t *testing.T) {
+	cfg := config()
+	cfg.MaxPerValue = 600
+	has := map[string][]fleet.Image{}
+	for i := range 60 {
+		name := fmt.Sprintf("m-%02d", i)
+		for k := range 3 {
+			has[name] = append(has[name], fleet.Image{Name: fmt.Sprintf("img-%d", (i+k)%7), GB: 1})
+		}
+	}
+	for k := range 40 {
+		has["m-00"] = append(has["m-00"], fleet.Image{Name: fmt.Sprintf("many-%d", k), GB: 0.1})
+	}
+	b := newBenchWith(t, cfg, 3, Snapshot{Images: []StoredImages{{"1-1", fleet.RecordImages(has, 16_000)}}})
+	logged := map[string]fleet.ImageRecord{}
+	for name := range has {
+		b.up(name)
+		b.e.imagesChanged(b.e.machines[name])
+	}
+	for range 120 {
+		b.now = b.now.Add(time.Second)
+		batch := b.e.Batch(b.now, 10)
+		b.e.Step(b.now, Sending{batch})
+		for _, w := range batch {
+			if w.Kind == WriteImages {
+				logged[w.Name] = w.Images
+			}
+		}
+		b.e.Step(b.now, Written{Batch: batch, OK: true, Version: 100})
+	}
+	seen := map[string]bool{}
+	for name, r := range logged {
+		if size, err := json.Marshal([]any{r.Images, r.Machines}); err != nil || len(size) > cfg.MaxPerValue {
+			t.Errorf("page %s takes %d bytes, %v", name, len(size), err)
+		}
+		r.Each(func(machine string, images []fleet.Image) { seen[machine] = len(images) > 0 })
+	}
+	if len(seen) != len(has) || !seen["m-00"] {
+		t.Errorf("%d of %d machines are in the log", len(seen), len(has))
+	}
+}
--- a/internal/core/writes.go
+++ b/internal/core/writes.go
@@ -191,7 +191,9 @@
 	for j := range e.writes.jobs {
 		switch {
 		case e.over(j):
-			ends = append(ends, j)
+			if !e.writes.lastJob[j.Ref].After(now) { // else it was refused
+				ends = append(ends, j)
+			}
 		case j.Over() || !j.Dirty():
 			delete(e.writes.jobs, j)
 		case now.Sub(e.writes.lastJob[j.Ref]) >= e.cfg.BatchEvery:
@@ -431,7 +433,7 @@
 type Refused struct{ Write Write }
 
 // What values are made smaller by when one was refused, down to which size, and for
-// how long a job's progress that was refused isn't tried again.
+// how long what was refused of a job isn't tried again.
 const (
 	refusedPart  = 0.75
 	leastValue   = 400
@@ -456,7 +458,7 @@
 		if e.writes.open == p {
 			e.writes.open = nil
 		}
-	case WriteJob, WriteChunk:
+	case WriteJob, WriteChunk, WriteFinal:
 		e.unwritten(op, nil)
 		e.writes.lastJob[op.Name] = now.Add(refusedPause)
 	case WriteImages, DropImages:
