--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -26,6 +26,7 @@
 	RestartLimit int           // bad exits of a task before it is held back
 	BatchEvery   time.Duration // how often partial progress is written
 	MaxPerValue  int           // bytes that one value in the store may have
+	WriteRate    float64       // changes a second that the leader may make; 0: unknown
 	RoundBudget  int           // tasks looked at in one round of decisions
 	Weights      Weights       // of money against lateness
 	Debug        bool          // notes at debug level are wanted
--- a/internal/core/imagelog.go
+++ b/internal/core/imagelog.go
@@ -32,13 +32,21 @@
 	l.pages, l.of, l.left = map[string]*imagePage{}, map[string]*imagePage{}, map[string][]fleet.Image{}
 }
 
-// How often a page is written: each about every imagesEvery, but no two within
-// imagesApart.
+// How often a page is written: each about every imagesEvery, but in all no more than
+// imagesPart of the leader's writes.
 const (
 	imagesEvery = 20 * time.Second
-	imagesApart = time.Second
+	imagesPart  = 8
 )
 
+// imagesApart is how long at the least lies between two pages.
+func (e *Engine) imagesApart() time.Duration {
+	if e.cfg.WriteRate <= 0 {
+		return time.Second
+	}
+	return time.Duration(imagesPart / e.cfg.WriteRate * float64(time.Second))
+}
+
 // leftFor is how long an earlier leader's word on a machine is kept that isn't
 // heard of.
 const leftFor = 5 * time.Minute
@@ -143,7 +151,7 @@
 // imageWrite adds the page that has waited longest, if it is time for one.
 func (e *Engine) imageWrite(now time.Time, out []Write, most int) []Write {
 	l := &e.images
-	every := max(imagesApart, imagesEvery/time.Duration(max(1, len(l.pages))))
+	every := max(e.imagesApart(), imagesEvery/time.Duration(max(1, len(l.pages))))
 	if changes(out) >= most || now.Sub(l.wroteAt) < every {
 		return out
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,7 @@
 		Teams: map[string]placement.Team{}, Aims: aims(p.Aims),
 		ReportEvery: p.Workers.Report.Duration(), Lease: p.Workers.Lease.Duration(),
 		CancelWithin: p.Workers.Cancel.Duration(), GangWait: p.Workers.GangWait.Duration(), ListLag: p.Cloud.ListLag.Duration(),
-		RestartLimit: op.RestartLimit, BatchEvery: op.BatchInterval, Weights: op.Weights, MaxPerValue: int(state.ValueKB * 1000), RoundBudget: 2000,
+		RestartLimit: op.RestartLimit, BatchEvery: op.BatchInterval, Weights: op.Weights, MaxPerValue: int(state.ValueKB * 1000), WriteRate: state.WriteRPS * leadPart, RoundBudget: 2000,
 		Debug: slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	}
 	for _, t := range p.Teams {
