Nobody is told that a job waits whose line may begin with a cancelled one

The state service failing for longer than cancel_s right after a cancellation was told left orphans: when it was back, jobs after it were called queued from the store, or by a new leader that hadn't yet asked, until their cancellation was written.

--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -101,6 +101,11 @@
 	if a := b.e.Ask(9); len(a) != 2 || a[0] != "j-1" || a[1] != "j-4" {
 		t.Fatalf("asks for %v", a)
 	}
+	for _, ref := range []string{"j-2", "j-3", "j-5"} {
+		if _, ok := b.e.Lookup(ref); ok {
+			t.Errorf("%s is called queued before it is known whether a job before it is cancelled", ref)
+		}
+	}
 	b.e.Step(b.now, NotLearnt{"j-1"})
 	if a := b.e.Ask(9); len(a) != 1 || a[0] != "j-1" {
 		t.Fatalf("asks again for %v", a)
@@ -114,8 +119,8 @@
 	if f, ok := b.ended("j-5"); !ok || f.Phase != pipeline.Cancelled {
 		t.Fatal("j-5 isn't being cancelled")
 	}
-	if b.e.jobs["j-3"].Phase() != pipeline.Held {
-		t.Fatal("j-3 doesn't wait")
+	if v, ok := b.e.Lookup("j-3"); !ok || v.Phase != pipeline.Active || b.e.jobs["j-3"].Phase() != pipeline.Held {
+		t.Fatalf("j-3 is told of as %+v, %v", v, ok)
 	}
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -159,7 +159,7 @@
 	if j == nil {
 		return JobView{}, false
 	}
-	if j.Phase() != j.Written() || j.Doubtful() {
+	if j.Phase() != j.Written() || j.Doubtful() || !e.graph.Sure(j) {
 		// The store may hold more than is known here; a node that reads it there
 		// must not be contradicted.
 		return JobView{}, false
--- a/internal/core/pipeline/graph.go
+++ b/internal/core/pipeline/graph.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// Sure tells whether it is known of all jobs that one needs, directly or through
+// others, what has become of them.
+func (g *Graph) Sure(j *Job) bool {
+	if len(g.ask) == 0 {
+		return true
+	}
+	seen := map[string]bool{}
+	for next := j.Awaits(); len(next) > 0; next = next[1:] {
+		ref := next[0]
+		if g.ask[ref] {
+			return false
+		}
+		if b := g.jobs[ref]; b != nil && !seen[ref] {
+			seen[ref] = true
+			next = append(next, b.Awaits()...)
+		}
+	}
+	return true
+}
+
 // Awaited tells whether any job waits for one.
 func (g *Graph) Awaited(ref string) bool { return len(g.after[ref]) > 0 }
 
--- a/internal/jobstore/awaits.go
+++ b/internal/jobstore/awaits.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"golang.org/x/sync/errgroup"
@@ -122,6 +123,39 @@
 	return nil
 }
 
+// maxAncestors is how many jobs are looked at to find out whether one that waits is
+// to be cancelled.
+const maxAncestors = 24
+
+// InDoubt tells whether a job that is said to wait must be, or may have to be,
+// cancelled with one that it needs: the leader has yet to write that, and until then
+// nobody may be told that it waits.
+func (j *Jobs) InDoubt(ctx context.Context, st State) (bool, error) {
+	if st.Over || !st.Record.Held() {
+		return false, nil
+	}
+	seen := map[string]bool{}
+	for next := st.Record.Awaits; len(next) > 0; next = next[1:] {
+		ref := next[0]
+		if seen[ref] {
+			continue
+		}
+		if seen[ref] = true; len(seen) > maxAncestors {
+			return true, nil
+		}
+		p, err := j.Load(ctx, ref)
+		switch {
+		case err != nil:
+			return true, err
+		case p.Phase == pipeline.Cancelled:
+			return true, nil
+		case !p.Over && p.Record.Held():
+			next = append(slices.Clone(next), p.Record.Awaits...)
+		}
+	}
+	return false, nil
+}
+
 func (j *Jobs) know(ref string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/jobstore/awaits_test.go
+++ b/internal/jobstore/awaits_test.go
@@ -59,6 +59,50 @@
 	}
 }
 
+// A job whose line begins with a cancelled one isn't said to wait, though nobody has
+// cancelled it yet. The state service once failed for longer than cancel_s right after
+// a user was told of a cancellation; when it was back, nodes told those after it that
+// they were queued.
+func TestInDoubt(t *testing.T) {
+	m, j, term := setup(t)
+	for i, awaits := range [][]string{{"j-1"}, {"j-2"}, {"j-2", "j-3"}} {
+		if err := j.Create(ctx, pipeline.Spec{Ref: fmt.Sprintf("j-%d", i+2), Tasks: 1}, awaits, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	doubt := func(ref string) bool {
+		t.Helper()
+		fresh := New(m, Limits{ValueBytes: 4000, TxnOps: 8})
+		st, err := fresh.Load(ctx, ref)
+		if err != nil || !st.Found {
+			t.Fatalf("%s: %+v, %v", ref, st, err)
+		}
+		d, err := fresh.InDoubt(ctx, st)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	if doubt("j-1") || doubt("j-2") || doubt("j-4") {
+		t.Error("in doubt with nothing cancelled")
+	}
+	st, err := j.Cancel(ctx, "j-1", time.Now(), NobodyLeads())
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func() {
+		t.Helper()
+		if doubt("j-1") || !doubt("j-2") || !doubt("j-3") || !doubt("j-4") {
+			t.Error("said to wait behind a cancelled job")
+		}
+	}
+	check()
+	if _, _, err := j.Apply(ctx, term, []core.Write{{Kind: core.WriteFinal, Name: "j-1", Version: st.Version, Final: pipeline.Final{Phase: pipeline.Cancelled}}}); err != nil {
+		t.Fatal(err)
+	}
+	check()
+}
+
 // failing lets some writes through and fails the rest.
 type failing struct {
 	*memory
--- a/internal/standin/lines.go
+++ b/internal/standin/lines.go
@@ -176,4 +176,27 @@
 		return
 	}
 	j.cancel()
+	if l.w.o.Faults && l.rng.IntN(2) == 0 {
+		l.outageOnceTold(j)
+	}
+}
+
+// outageOnceTold has the state service fail as soon as a user knows that a job is
+// cancelled, mostly for longer than those that need it may still be called queued,
+// and often all controllers end too.
+func (l *lines) outageOnceTold(j *userJob) {
+	w := l.w
+	if w.now.Sub(w.start) > w.o.Length-w.o.Cancel {
+		return
+	}
+	if j.told != pipeline.Cancelled {
+		w.after(10*time.Millisecond, func() { l.outageOnceTold(j) })
+		return
+	}
+	w.outage(l.between(w.o.Cancel/2, w.o.Cancel*5/4))
+	if l.rng.IntN(2) == 0 {
+		for _, n := range w.nodes {
+			n.crash(l.between(10*time.Millisecond, 4*time.Second))
+		}
+	}
 }
--- a/internal/userapi/userapi.go
+++ b/internal/userapi/userapi.go
@@ -20,6 +20,8 @@
 	CheckParents(ctx context.Context, ref string, awaits []string) error
 	Create(ctx context.Context, spec pipeline.Spec, awaits []string, now time.Time) error
 	Load(ctx context.Context, ref string) (jobstore.State, error)
+	// InDoubt tells whether a job that the store says waits may have to be cancelled.
+	InDoubt(ctx context.Context, st jobstore.State) (bool, error)
 }
 
 // Leader is the leader's view of jobs, here or on another node.
@@ -132,6 +134,9 @@
 	if !st.Found {
 		return Answer{Status: 404}
 	}
+	if doubt, err := s.Jobs.InDoubt(ctx, st); err != nil || doubt {
+		return later()
+	}
 	return tell(ref, core.JobView{Phase: st.Phase, Done: st.Done})
 }
 
--- a/internal/userapi/userapi_test.go
+++ b/internal/userapi/userapi_test.go
@@ -57,6 +57,10 @@
 	return w.jobs[ref], nil
 }
 
+func (w *world) InDoubt(_ context.Context, st jobstore.State) (bool, error) {
+	return st.Record.Held(), nil
+}
+
 func (w *world) View(ref string) (core.JobView, bool) { v, ok := w.view[ref]; return v, ok }
 
 func (w *world) Ask(context.Context, string) (core.JobView, bool) { return core.JobView{}, false }
@@ -147,6 +151,10 @@
 	if a := s.Get(ctx, "nonsense"); a.Status != 404 {
 		t.Errorf("malformed id: %d", a.Status)
 	}
+	w.jobs["j-000004"] = jobstore.State{Found: true, Record: pipeline.Record{Awaits: []string{"j-000002"}}}
+	if a := s.Get(ctx, "j-000004"); a.Status != 503 || !a.RetryAfter {
+		t.Errorf("a job behind a cancelled one is told of: %+v", a)
+	}
 	w.down = true
 	if a := s.Get(ctx, "j-000009"); a.Status != 503 {
 		t.Errorf("404 without asking the store: %d", a.Status)
