--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -249,3 +249,27 @@
 		t.Fatalf("written in the order %v, want %v", order, want)
 	}
 }
+
+// Of a job whose description is larger than values may now be, only the end is
+// written: its progress would be refused, and all other values be made smaller for it.
+func TestLargeDescriptionIsLeftAsItIs(t *testing.T) {
+	cfg := config()
+	cfg.MaxPerValue = 1000
+	large := job("j-1", 2)
+	for range 40 {
+		large.Record.Spec.Types = append(large.Record.Spec.Types, "a-type-with-a-long-name")
+	}
+	b := newBenchWith(t, cfg, 2, Snapshot{Jobs: []StoredJob{large, job("j-2", 2)}})
+	for _, ref := range []string{"j-1", "j-2"} {
+		b.e.jobs[ref].Finish(0)
+		b.e.writes.jobChanged(b.e.jobs[ref])
+	}
+	if batch := b.e.Batch(b.now, 10); len(batch) != 1 || batch[0].Name != "j-2" {
+		t.Fatalf("writes %+v", batch)
+	}
+	b.e.jobs["j-1"].Finish(1)
+	b.e.jobs["j-1"].Settle()
+	if f, ok := b.ended("j-1"); !ok || f.Phase != pipeline.Done {
+		t.Fatalf("its end: %+v, %v", f, ok)
+	}
+}
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -106,26 +106,28 @@
 // Job is the state of one job, a pipeline with a single vital and forcible job.
 type Job struct {
 	Spec
-	Submitted time.Time
-	Since     time.Time // from when its times count: submitted, or the end of the last job that it needs
-	Urgency   Priority  // the highest among its own and those of the jobs that need it
-	Last      Last      // the job with a deadline that makes it most pressing, of those that need it
-	CancelAt  time.Time
-	awaits    []string        // while Held
-	open      map[string]bool // those of them that aren't known to be done
-	pages     Record          // its AwaitPages and AwaitSum
-	cut       map[int]int     // of chunks that were written cut short: from which task on
-	phase     Phase
-	written   Phase // the phase that the store is known to hold
-	Version   uint64
-	Tasks     []Task
-	counts    [3]int
-	Running   int          // tasks reported as running, for display
-	Started   bool         // a task of it has run
-	dirty     map[int]bool // chunks to be written
-	BadOn     map[string]bool
-	cursor    int
-	doubt     uint64 // version at which a cancellation's fate was unknown
+	Submitted  time.Time
+	Since      time.Time // from when its times count: submitted, or the end of the last job that it needs
+	Urgency    Priority  // the highest among its own and those of the jobs that need it
+	Last       Last      // the job with a deadline that makes it most pressing, of those that need it
+	CancelAt   time.Time
+	awaits     []string        // while Held
+	open       map[string]bool // those of them that aren't known to be done
+	awaitPages int             // of its list of jobs to wait for in the store, and which list they belong to
+	awaitSum   string
+	least      int         // bytes that its record takes at the least
+	cut        map[int]int // of chunks that were written cut short: from which task on
+	phase      Phase
+	written    Phase // the phase that the store is known to hold
+	Version    uint64
+	Tasks      []Task
+	counts     [3]int
+	Running    int          // tasks reported as running, for display
+	Started    bool         // a task of it has run
+	dirty      map[int]bool // chunks to be written
+	BadOn      map[string]bool
+	cursor     int
+	doubt      uint64 // version at which a cancellation's fate was unknown
 }
 
 // NewJob builds a job's state from its record; chunks hold the done ranges past
@@ -146,7 +148,8 @@
 	if r.ReadyMS != 0 {
 		j.Since = time.UnixMilli(r.ReadyMS)
 	}
-	j.pages.AwaitPages, j.pages.AwaitSum = r.AwaitPages, r.AwaitSum
+	j.awaitPages, j.awaitSum = r.AwaitPages, r.AwaitSum
+	j.least = (&Record{Spec: r.Spec}).Bytes()
 	if r.Held() {
 		j.phase, j.written = Held, Held
 		j.open = map[string]bool{}
@@ -275,7 +278,7 @@
 }
 
 // AwaitPages names the pages of the list of jobs that it was submitted with.
-func (j *Job) AwaitPages() (sum string, pages int) { return j.pages.AwaitSum, j.pages.AwaitPages }
+func (j *Job) AwaitPages() (sum string, pages int) { return j.awaitSum, j.awaitPages }
 
 // Met notes that the store holds that a job before it is done, and since when;
 // it tells whether that was the last one.
@@ -358,6 +361,10 @@
 	return -1
 }
 
+// Fits tells whether the job's record fits so many bytes at all: one that was
+// written when values could be larger may not.
+func (j *Job) Fits(most int) bool { return j.least <= most }
+
 // Dirty tells whether a chunk's done ranges (or the restart counts) have
 // changed since they were last written.
 func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
--- a/internal/core/pipeline/record.go
+++ b/internal/core/pipeline/record.go
@@ -127,7 +127,7 @@
 // many bytes.
 func (j *Job) Record(most int) Record {
 	r := Record{Spec: j.Spec, SubmittedMS: j.Submitted.UnixMilli(), Phase: j.phase,
-		AwaitPages: j.pages.AwaitPages, AwaitSum: j.pages.AwaitSum}
+		AwaitPages: j.awaitPages, AwaitSum: j.awaitSum}
 	switch j.phase {
 	case Done:
 		r.Phase = Active // done is written as the job's final entry only
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -307,22 +307,25 @@
 }
 
 // askMost is how many jobs that others wait for are looked up at a time, askEvery
-// how often.
+// how often, and askAgain how long after a time at which some weren't learnt of.
 const (
 	askMost  = 3
 	askEvery = 200 * time.Millisecond
+	askAgain = time.Second
 )
 
 // askLoop finds out what became of jobs that others wait for and that were over
 // before this reign.
 func (r *reign) askLoop() error {
-	for sleep(r.ctx, askEvery) {
+	for pause := askEvery; sleep(r.ctx, pause); {
 		r.mu.Lock()
 		refs := r.eng.Ask(askMost)
 		r.mu.Unlock()
+		pause = askEvery
 		for _, ref := range refs {
 			if !r.learn(ref, r.d.records.LoadOver) {
 				r.step(core.NotLearnt{Ref: ref})
+				pause = askAgain
 			}
 		}
 	}
