--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -15,7 +15,7 @@
 
 const job = `{"ref":"j-000412","lot_kind":"train","owner":"vision","shape":"sweep","urgency":"normal","lots":16,
 "vcpus":8.0,"cards":1,"mem_gb":64.5,"kit":"img-07","pull_gb":6.2,"builds":["g8"],"yard":null,"one_zone":true,
-"apart":false,"loaners":true,"guess_s":240.0,"mark_s":30.0,"stash_s":4.0,"due_s":900.0}`
+"apart":false,"loaners":true,"guess_s":240.0,"mark_s":30.0,"stash_s":4.0,"due_s":900.0,"awaits":["j-000398","j-000405"]}`
 
 // serve answers with one status after the other, and notes the pauses between.
 func serve(t *testing.T, statuses ...int) (c *Client, pauses *[]time.Duration) {
@@ -29,8 +29,8 @@
 		switch st {
 		case 200, 201:
 			if rc.IsPost() && len(rc.PostBody()) > 0 {
-				if spec, _, err := wire.ParseSubmission(rc.PostBody()); err != nil || spec.Tasks != 16 || spec.MemGB != 64.5 {
-					t.Errorf("submitted %+v, %v", spec, err)
+				if spec, awaits, err := wire.ParseSubmission(rc.PostBody()); err != nil || spec.Tasks != 16 || spec.MemGB != 64.5 || len(awaits) != 2 {
+					t.Errorf("submitted %+v after %v, %v", spec, awaits, err)
 				}
 			}
 			rc.SetBody(wire.MustMarshal(wire.RunState{Ref: "j-000412", Status: map[int]string{200: "done", 201: "queued"}[st]}))
