That nothing before a waiting job is cancelled is kept for a quarter of cancel_s

While the leader can't be asked, as when controllers refuse each other, nodes answer from the store; looking through the line of each job at each poll took more reads than a node has, and lines of over 24 jobs weren't told of at all. What was seen counts for a quarter of cancel_s, well within what an orphan is allowed. Test: TestInDoubt.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,6 +68,10 @@
 	burstPart = 0.3
 )
 
+// A job that waits may be called queued for CancelWithin after its user was told of a
+// cancellation before it; for a part of that it counts that there was none.
+const sureParts = 4
+
 // leastWrites is how many writes a second a node's users have at the least.
 const leastWrites = 1.5
 
@@ -111,7 +115,7 @@
 	d.store = statestore.New(statestore.Options{Addr: cfg.Endpoints.State, MaxConns: conns, Requests: state.RPS * userPart * 2 / nodes,
 		Writes: writes, Burst: burst,
 		Contact: d.storeAnswered})
-	limits := jobstore.Limits{ValueBytes: d.core.MaxPerValue, TxnOps: state.TxnOps}
+	limits := jobstore.Limits{ValueBytes: d.core.MaxPerValue, TxnOps: state.TxnOps, SureFor: d.core.CancelWithin / sureParts}
 	d.jobs = jobstore.New(d.store, limits)
 	d.records = jobstore.New(d.store.Part(state.RPS*leadPart, state.WriteRPS*leadPart), limits)
 	d.cloud = cloud.New(cfg.Endpoints.Cloud, p.Cloud.RPS*cloudPart)
--- a/internal/jobstore/awaits.go
+++ b/internal/jobstore/awaits.go
@@ -6,8 +6,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -123,37 +123,62 @@
 	return nil
 }
 
-// maxAncestors is how many jobs are looked at to find out whether one that waits is
-// to be cancelled.
-const maxAncestors = 24
-
-// InDoubt tells whether a job that is said to wait must be, or may have to be,
-// cancelled with one that it needs: the leader has yet to write that, and until then
-// nobody may be told that it waits.
-func (j *Jobs) InDoubt(ctx context.Context, st State) (bool, error) {
+// InDoubt tells whether a job that is said to wait must be cancelled with one that
+// it needs: the leader has yet to write that, and until then nobody may be told that it
+// waits. An error says that it can't be found out in time; what was found out is kept
+// for the next question.
+func (j *Jobs) InDoubt(ctx context.Context, st State, now time.Time) (bool, error) {
 	if st.Over || !st.Record.Held() {
 		return false, nil
 	}
-	seen := map[string]bool{}
-	for next := st.Record.Awaits; len(next) > 0; next = next[1:] {
-		ref := next[0]
-		if seen[ref] {
-			continue
+	_, none, err := j.noneCancelled(ctx, st.Record.Awaits, now)
+	return !none, err
+}
+
+// noneCancelled tells whether, as of some moment, none of some jobs was cancelled, nor
+// any that they need.
+func (j *Jobs) noneCancelled(ctx context.Context, refs []string, now time.Time) (asOf time.Time, none bool, err error) {
+	asOf = now
+	for _, ref := range refs {
+		t, ok, err := j.notCancelled(ctx, ref, now)
+		if !ok || err != nil {
+			return t, false, err
 		}
-		if seen[ref] = true; len(seen) > maxAncestors {
-			return true, nil
+		if t.Before(asOf) {
+			asOf = t
 		}
-		p, err := j.Load(ctx, ref)
-		switch {
-		case err != nil:
-			return true, err
-		case p.Phase == pipeline.Cancelled:
-			return true, nil
-		case !p.Over && p.Record.Held():
-			next = append(slices.Clone(next), p.Record.Awaits...)
+	}
+	return asOf, true, nil
+}
+
+func (j *Jobs) notCancelled(ctx context.Context, ref string, now time.Time) (asOf time.Time, ok bool, err error) {
+	if t, known := j.sureSince(ref); known && now.Sub(t) < j.limits.SureFor {
+		return t, true, nil
+	}
+	p, err := j.Load(ctx, ref)
+	if err != nil || p.Phase == pipeline.Cancelled {
+		return now, false, err
+	}
+	asOf, ok = now, true
+	if !p.Over && p.Record.Held() {
+		asOf, ok, err = j.noneCancelled(ctx, p.Record.Awaits, now)
+	}
+	if ok && err == nil {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		if len(j.sure) >= maxKnown {
+			clear(j.sure)
 		}
+		j.sure[ref] = asOf
 	}
-	return false, nil
+	return asOf, ok, err
+}
+
+func (j *Jobs) sureSince(ref string) (time.Time, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t, known := j.sure[ref]
+	return t, known
 }
 
 func (j *Jobs) know(ref string) {
--- a/internal/jobstore/awaits_test.go
+++ b/internal/jobstore/awaits_test.go
@@ -70,14 +70,15 @@
 			t.Fatal(err)
 		}
 	}
+	now := time.Unix(1000, 0)
+	asked := New(m, Limits{ValueBytes: 4000, TxnOps: 8, SureFor: 10 * time.Second})
 	doubt := func(ref string) bool {
 		t.Helper()
-		fresh := New(m, Limits{ValueBytes: 4000, TxnOps: 8})
-		st, err := fresh.Load(ctx, ref)
+		st, err := asked.Load(ctx, ref)
 		if err != nil || !st.Found {
 			t.Fatalf("%s: %+v, %v", ref, st, err)
 		}
-		d, err := fresh.InDoubt(ctx, st)
+		d, err := asked.InDoubt(ctx, st, now)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -96,7 +97,12 @@
 			t.Error("said to wait behind a cancelled job")
 		}
 	}
+	if doubt("j-4") {
+		t.Error("looked up again within the time for which it counts")
+	}
+	now = now.Add(10 * time.Second)
 	check()
+	now = now.Add(time.Minute)
 	if _, _, err := j.Apply(ctx, term, []core.Write{{Kind: core.WriteFinal, Name: "j-1", Version: st.Version, Final: pipeline.Final{Phase: pipeline.Cancelled}}}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -48,6 +48,7 @@
 type Limits struct {
 	ValueBytes int
 	TxnOps     int
+	SureFor    time.Duration // how long it counts that a job was seen not to be cancelled
 }
 
 // Store is what the job store needs of the state service.
@@ -65,11 +66,12 @@
 	mu     sync.Mutex
 	finals map[string]pipeline.Final // final entries never change
 	known  map[string]bool           // jobs that were accepted and are no services, the same
+	sure   map[string]time.Time      // when jobs, and all that they need, weren't cancelled
 }
 
 // New makes a job store.
 func New(s Store, l Limits) *Jobs {
-	return &Jobs{store: s, limits: l, finals: map[string]pipeline.Final{}, known: map[string]bool{}}
+	return &Jobs{store: s, limits: l, finals: map[string]pipeline.Final{}, known: map[string]bool{}, sure: map[string]time.Time{}}
 }
 
 // maxFinals bounds the final entries kept at hand.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -40,6 +40,10 @@
 
 var bg = context.Background()
 
+// sureParts is which part of a cancellation's time it counts that a job was seen not
+// to be cancelled.
+const sureParts = 4
+
 // local is the node's steady clock.
 func (n *node) local() time.Time {
 	return n.w.start.Add(time.Duration(float64(n.w.now.Sub(n.w.start)) * n.rate))
@@ -52,7 +56,9 @@
 	n.life++
 	n.down, n.eng, n.writing, n.until = false, nil, false, time.Time{}
 	n.health = health.New(n.local())
-	n.jobs = jobstore.New(n.storeView(), n.limits())
+	limits := n.limits()
+	limits.SureFor = n.w.o.Cancel / sureParts
+	n.jobs = jobstore.New(n.storeView(), limits)
 	n.loop(n.life, 500*time.Millisecond, n.ask)
 	n.loop(n.life, time.Second, n.keepContact)
 	n.loop(n.life, n.w.o.LeaseTTL/4, n.lead)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return v, false, false
 	}
-	if doubt, err := n.jobs.InDoubt(bg, st); err != nil || doubt {
+	if doubt, err := n.jobs.InDoubt(bg, st, n.local()); err != nil || doubt {
 		return v, false, false
 	}
 	return core.JobView{Phase: st.Phase, Done: st.Done}, st.Found, true
--- a/internal/userapi/userapi.go
+++ b/internal/userapi/userapi.go
@@ -21,7 +21,7 @@
 	Create(ctx context.Context, spec pipeline.Spec, awaits []string, now time.Time) error
 	Load(ctx context.Context, ref string) (jobstore.State, error)
 	// InDoubt tells whether a job that the store says waits may have to be cancelled.
-	InDoubt(ctx context.Context, st jobstore.State) (bool, error)
+	InDoubt(ctx context.Context, st jobstore.State, now time.Time) (bool, error)
 }
 
 // Leader is the leader's view of jobs, here or on another node.
@@ -134,7 +134,7 @@
 	if !st.Found {
 		return Answer{Status: 404}
 	}
-	if doubt, err := s.Jobs.InDoubt(ctx, st); err != nil || doubt {
+	if doubt, err := s.Jobs.InDoubt(ctx, st, time.Now()); err != nil || doubt {
 		return later()
 	}
 	return tell(ref, core.JobView{Phase: st.Phase, Done: st.Done})
--- a/internal/userapi/userapi_test.go
+++ b/internal/userapi/userapi_test.go
@@ -57,7 +57,7 @@
 	return w.jobs[ref], nil
 }
 
-func (w *world) InDoubt(_ context.Context, st jobstore.State) (bool, error) {
+func (w *world) InDoubt(_ context.Context, st jobstore.State, _ time.Time) (bool, error) {
 	return st.Record.Held(), nil
 }
 
