A leader stops a job's tasks before its cancellation is sent; the bound as arithmetic

Cause: a cancellation whose transaction was carried out and whose answer was lost could be read in the store by other nodes, and told, while the leader's memory still said queued and its answers renewed workers' leases without the stop. A new leader's first answers, before its first tick, lacked the stops of jobs cancelled before its term. A doubt was noted at the engine's version of the record, not at the one that the transaction was sent against. Tests that fail without it: TestCancelAskedStopsFirst, TestCancelWithoutAnswer, TestFirstAnswerStopsCancelled (tried with that line taken out), TestCancelBound, TestCancelPutOff, TestCancelInDoubt; TestNoAnswerInDoubt holds the same and more.

--- /dev/null
+++ b/internal/core/cancel_test.go
@@ -0,0 +1,123 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+func stops(r Reply) (n int) {
+	for _, c := range r.Commands {
+		if c.Op == fleet.Stop && c.Grace == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// From before a cancellation's transaction is sent, each answer stops the job's tasks and
+// none starts any: another node may read it in the store, and tell its user, before this
+// one hears of it. Once it certainly wasn't carried out, the job goes on.
+func TestCancelAskedStopsFirst(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	eff := b.e.Step(b.now, CancelAsked{"j-1"})
+	if len(eff.Direct) != 1 || eff.Direct[0].Commands[0].Op != fleet.Stop {
+		t.Fatalf("effects before the transaction: %+v", eff)
+	}
+	if r := b.report("m-1", 2, running(c)); stops(r) != 1 {
+		t.Fatalf("a 200 without the stop: %+v", r)
+	}
+	stopped := fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseStopped}
+	b.report("m-1", 2, stopped)
+	b.pass(5*time.Second, true)
+	if r := b.report("m-1", 2); len(starts(r)) != 0 {
+		t.Fatalf("started while the cancellation is under way: %+v", r)
+	}
+	b.e.Step(b.now, CancelOutcome{Ref: "j-1"})
+	b.pass(3*time.Second, true)
+	if r := b.report("m-1", 2); len(starts(r)) != 1 {
+		t.Fatalf("a job that wasn't cancelled doesn't go on: %+v", r)
+	}
+}
+
+// A cancellation without an answer may be carried out later, against the version that it
+// read: until the record is past that, nothing of the job starts, whatever this node
+// took its version for, and also if it hadn't heard of the job.
+func TestCancelWithoutAnswer(t *testing.T) {
+	b := newBench(t, 2, Snapshot{})
+	b.up("m-1")
+	b.e.Step(b.now, CancelAsked{"j-1"})
+	b.e.Step(b.now, CancelOutcome{Ref: "j-1", Unknown: true, Version: 7})
+	b.e.Step(b.now, JobStored{job("j-1", 1)}) // version 5, heard of late
+	if _, ok := b.e.Lookup("j-1"); ok {
+		t.Fatal("told from memory")
+	}
+	b.pass(6*time.Second, false)
+	if r := b.report("m-1", 2); len(starts(r)) != 0 {
+		t.Fatalf("started in doubt: %+v", r)
+	}
+	b.pass(3*time.Second, true) // the record is written anew
+	if r := b.report("m-1", 2); len(starts(r)) != 1 {
+		t.Fatalf("not started once the doubt is settled: %+v", r)
+	}
+}
+
+// A new leader's first answer already stops what an earlier one's cancelled jobs have on
+// machines: it renews their leases, and may be the last.
+func TestFirstAnswerStopsCancelled(t *testing.T) {
+	snap := inherited()
+	snap.Jobs[0].Record.Phase, snap.Jobs[0].Record.CancelledMS = pipeline.Cancelled, 4_990_000
+	b := newBench(t, 2, snap)
+	c := fleet.Command{Ref: "j-1", Attempt: 1 << attemptBits}
+	if r := b.report("m-1", 1, running(c)); !r.OK || stops(r) != 1 {
+		t.Fatalf("first answer: %+v", r)
+	}
+}
+
+// The arithmetic of docs/design.md, "The bound of a cancellation", over settings.
+func TestCancelBound(t *testing.T) {
+	for _, c := range []struct {
+		lease, cancel time.Duration
+		kept          bool
+	}{
+		{45 * time.Second, 65 * time.Second, true},
+		{32 * time.Second, 62 * time.Second, true},
+		{12 * time.Second, 37 * time.Second, true},
+		{60 * time.Second, 60 * time.Second, false},
+		{64 * time.Second, 65 * time.Second, false}, // the drift of clocks and the steps of timers
+	} {
+		cfg := Config{Lease: c.lease, CancelWithin: c.cancel}
+		if cfg.CancelKept() != c.kept {
+			t.Errorf("lease %s, cancel %s: kept %v, bound %s", c.lease, c.cancel, cfg.CancelKept(), cfg.CancelBound())
+		}
+	}
+}
+
+// Where the bound can't be kept, the job's tasks are stopped and stay so, and the
+// cancellation is confirmed once none may be on a machine.
+func TestCancelPutOff(t *testing.T) {
+	b, c := started(t)
+	b.report("m-1", 2, running(c))
+	b.e.Step(b.now, CancelAsked{"j-1"})
+	if !b.e.MayBeOnMachines("j-1") {
+		t.Fatal("a running task counts as gone")
+	}
+	b.e.Step(b.now, CancelOutcome{Ref: "j-1", PutOff: true})
+	b.report("m-1", 2, fleet.TaskReport{Ref: c.Ref, Task: c.Task, Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseStopped})
+	b.pass(10*time.Second, true)
+	if r := b.report("m-1", 2); len(starts(r)) != 0 || b.e.MayBeOnMachines("j-1") {
+		t.Fatalf("started again before its user has asked again: %+v", r)
+	}
+	if _, ok := b.e.Lookup("j-1"); !ok {
+		t.Fatal("its user isn't told that it waits")
+	}
+	b.pass(config().CancelWithin, true) // its user has given up
+	b.up("m-1")
+	b.pass(3*time.Second, true)
+	if r := b.report("m-1", 2); len(starts(r)) != 1 {
+		t.Fatalf("a job that wasn't cancelled doesn't go on: %+v", r)
+	}
+}
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -82,6 +82,7 @@
 	counter   uint64
 	floor     placement.Floor
 	cancelled map[*pipeline.Job]bool  // cancelled jobs that may have tasks on machines
+	cancels   map[string]*cancelling  // cancellations that aren't known to be stored, or not to be
 	deaf      map[*fleet.Machine]bool // machines that seem to hear nothing
 	changed   map[*fleet.Machine]bool // since the floor last saw them
 	round     placement.Round
@@ -188,7 +189,7 @@
 func New(now time.Time, cfg Config, term uint64, snap Snapshot, rng *rand.Rand) *Engine {
 	e := &Engine{cfg: cfg, term: term, rng: rng, started: now, jobs: map[string]*pipeline.Job{},
 		machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, use: map[string]*jobUse{},
-		teamUse: map[string]fleet.Amount{}, changed: map[*fleet.Machine]bool{}, deaf: map[*fleet.Machine]bool{}, emptying: map[*fleet.Machine]bool{}, cancelled: map[*pipeline.Job]bool{},
+		teamUse: map[string]fleet.Amount{}, changed: map[*fleet.Machine]bool{}, deaf: map[*fleet.Machine]bool{}, emptying: map[*fleet.Machine]bool{}, cancelled: map[*pipeline.Job]bool{}, cancels: map[string]*cancelling{},
 		finals: map[string]pipeline.Final{}, classes: map[string]*classStats{}, replan: true}
 	e.graph = pipeline.NewGraph(e.stageTime)
 	e.writes.init()
@@ -198,6 +199,9 @@
 		e.addJob(now, s)
 	}
 	e.inherit(now, snap.Pages)
+	for _, j := range sortedJobs(e.cancelled) {
+		e.stopJob(now, j, "cancelled before this term") // the first answer already says so
+	}
 	return e
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -36,6 +36,9 @@
 		return
 	}
 	j.Version = s.Job.Version
+	if s.Job.Record.Phase == pipeline.Cancelled {
+		delete(e.cancels, ref)
+	}
 	awaits := j.Awaits()
 	if s.Job.Record.Phase == pipeline.Cancelled && j.Cancel(time.UnixMilli(s.Job.Record.CancelledMS)) {
 		e.graph.Leave(j, awaits)
@@ -61,6 +64,7 @@
 		clear(e.finals) // the store still knows them
 	}
 	e.finals[ref] = f
+	delete(e.cancels, ref)
 	e.settleAfter(now, ref, f)
 	j := e.jobs[ref]
 	if j == nil {
@@ -95,11 +99,13 @@
 	case pipeline.Held:
 		e.weigh(now, j)
 	case pipeline.Cancelled:
+		delete(e.cancels, j.Ref)
 		e.cancelled[j] = true
 		e.cancelAfter(now, j.Ref)
 	default:
 		e.arrived(now, j)
 	}
+	e.settleDoubt(j)
 	e.writes.jobChanged(j)
 }
 
@@ -159,7 +165,7 @@
 	if j == nil {
 		return JobView{}, false
 	}
-	if j.Phase() != j.Written() || j.Doubtful() || !e.graph.Sure(j) {
+	if j.Phase() != j.Written() || e.cancelOpen(ref) || !e.graph.Sure(j) {
 		// The store may hold more than is known here; a node that reads it there
 		// must not be contradicted.
 		return JobView{}, false
@@ -174,17 +180,6 @@
 	return v, true
 }
 
-// Doubt says that a cancellation of the job was sent to the store, and nobody
-// knows whether it was, or will yet be, applied.
-type Doubt struct{ Ref string }
-
-func (d Doubt) apply(e *Engine, now time.Time) {
-	if j := e.jobs[d.Ref]; j != nil {
-		j.Doubt() // writing the record anew settles it
-		e.writes.jobChanged(j)
-	}
-}
-
 func finalView(f pipeline.Final) JobView {
 	v := JobView{Phase: f.Phase}
 	if f.Phase == pipeline.Done {
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -127,7 +127,6 @@
 	dirty      map[int]bool // chunks to be written
 	BadOn      map[string]bool
 	cursor     int
-	doubt      uint64 // version at which a cancellation's fate was unknown
 }
 
 // NewJob builds a job's state from its record; chunks hold the done ranges past
@@ -329,17 +328,6 @@
 	return true
 }
 
-// Doubt notes that the record may be changed, now or later, from its present
-// version; Doubtful tells whether it still is at that version. Once written
-// anew, a late change can't apply any more.
-func (j *Job) Doubt() {
-	j.doubt = j.Version
-	j.Touch(0)
-}
-
-// Doubtful tells whether the store may hold a cancellation not known here.
-func (j *Job) Doubtful() bool { return j.doubt != 0 && j.doubt == j.Version }
-
 // SetWritten notes that the store holds a phase.
 func (j *Job) SetWritten(p Phase) { j.written = p }
 
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -18,7 +18,7 @@
 	machines := float64(max(e.floor.Size(), fewMachines))
 	var out []rank
 	for _, j := range e.order {
-		if j.Phase() == pipeline.Active && j.Count(pipeline.Waiting) > 0 {
+		if j.Phase() == pipeline.Active && j.Count(pipeline.Waiting) > 0 && !e.cancelHolds(now, j.Ref) {
 			out = e.turnsOf(out, now, j, machines)
 		}
 	}
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -232,7 +232,11 @@
 	if _, ok := b.e.Lookup("j-1"); !ok {
 		t.Fatal("an active job isn't known")
 	}
-	b.e.Step(b.now, Doubt{"j-1"})
+	b.e.Step(b.now, CancelAsked{"j-1"})
+	if v, ok := b.e.Lookup("j-1"); ok {
+		t.Fatalf("answered while a cancellation is on its way: %v", v)
+	}
+	b.e.Step(b.now, CancelOutcome{Ref: "j-1", Unknown: true, Version: 5})
 	if v, ok := b.e.Lookup("j-1"); ok {
 		t.Fatalf("answered in doubt: %v", v)
 	}
--- a/internal/core/writes.go
+++ b/internal/core/writes.go
@@ -196,6 +196,8 @@
 			}
 		case j.Over() || !j.Dirty():
 			delete(e.writes.jobs, j)
+		case e.cancelAsked(j.Ref):
+			// A new version of the record would only be in the cancellation's way.
 		case !j.Fits(e.cfg.MaxPerValue):
 			// Only its end is written; until then its workers keep its results.
 		case now.Sub(e.writes.lastJob[j.Ref]) >= e.cfg.BatchEvery:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -243,21 +243,26 @@
 	return decodeView(body)
 }
 
-// Cancel cancels a job as the leader, whose engine knows of it before anybody
-// is told, or while nobody leads.
+// errNotInTime says that the job's tasks can't be promised to be gone in time.
+var errNotInTime = errors.New("its tasks have to be proven gone first")
+
+// Cancel cancels a job as the leader, whose engine knows of it before the store does, or
+// while nobody leads.
 func (d *Daemon) Cancel(ctx context.Context, ref string) (pipeline.Phase, error) {
-	guard := jobstore.NobodyLeads()
 	r := d.reign.Load()
-	if r != nil && r.entitled() {
-		guard = jobstore.UnderTerm(r.term)
+	if r == nil || !r.entitled() {
+		if !d.core.CancelKept() {
+			return 0, errNotInTime // whether any of its tasks are on machines isn't known here
+		}
+		st, err := d.jobs.Cancel(ctx, ref, time.Now(), jobstore.NobodyLeads())
+		return st.Phase, err
 	}
-	st, err := d.jobs.Cancel(ctx, ref, time.Now(), guard)
-	switch {
-	case r == nil:
-	case err != nil && !errors.Is(err, jobstore.ErrUnknownJob):
-		r.step(core.Doubt{Ref: ref})
-	case err == nil && !st.Over:
-		r.step(core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}})
+	r.step(core.CancelAsked{Ref: ref})
+	if !d.core.CancelKept() && r.mayBeOnMachines(ref) {
+		r.step(core.CancelOutcome{Ref: ref, PutOff: true})
+		return 0, errNotInTime
 	}
+	st, err := d.jobs.Cancel(ctx, ref, time.Now(), jobstore.UnderTerm(r.term))
+	r.step(jobstore.CancelEvent(ref, st, err))
 	return st.Phase, err
 }
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -155,6 +155,12 @@
 	return r.eng.Lookup(ref)
 }
 
+func (r *reign) mayBeOnMachines(ref string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.eng.MayBeOnMachines(ref)
+}
+
 // tickEvery is how often time passes for the engine.
 const tickEvery = 100 * time.Millisecond
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -42,6 +42,7 @@
 	ErrNotOurs    = errors.New("another node leads")
 	ErrParent     = errors.New("a job to wait for is unknown, a service or the job itself")
 	ErrTooLarge   = errors.New("too large to be stored")
+	ErrInDoubt    = errors.New("the change may have been made, or may yet be")
 )
 
 // Limits are what the state service takes.
@@ -215,14 +216,17 @@
 		if err != nil {
 			return st, fmt.Errorf("job %s: %w", ref, err)
 		}
-		st.Version, err = j.store.Commit(ctx, []wire.Condition{guard, {Path: JobPrefix + ref, Stamp: st.Version}},
+		rev, err := j.store.Commit(ctx, []wire.Condition{guard, {Path: JobPrefix + ref, Stamp: st.Version}},
 			[]wire.Change{{Put: JobPrefix + ref, V: v}})
 		var conflict *statestore.ConflictError
 		switch {
 		case err == nil:
+			st.Version = rev
 			return st, nil
-		case !errors.As(err, &conflict):
+		case errors.Is(err, statestore.ErrUnavailable), errors.Is(err, statestore.ErrRefused):
 			return st, err
+		case !errors.As(err, &conflict):
+			return st, fmt.Errorf("%w: %w", ErrInDoubt, err)
 		case slices.Contains(conflict.Failed, guard.Path):
 			return st, ErrNotOurs
 		}
@@ -230,6 +234,17 @@
 	return State{}, fmt.Errorf("job %s: record keeps changing", ref)
 }
 
+// CancelEvent is what a leader's engine hears of the outcome of Cancel.
+func CancelEvent(ref string, st State, err error) core.Event {
+	switch {
+	case err != nil:
+		return core.CancelOutcome{Ref: ref, Unknown: errors.Is(err, ErrInDoubt), Version: st.Version}
+	case st.Over:
+		return core.JobFinal{Ref: ref, Final: st.Final}
+	}
+	return core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}}
+}
+
 // cancelled turns a job's record into that of a cancelled one. What no longer
 // matters is left out, the description too if the record was written when values
 // could be larger.
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -115,6 +115,34 @@
 	}
 }
 
+// unanswered is a state service that carries transactions out, and whose answers are lost.
+type unanswered struct{ *memory }
+
+func (u unanswered) Commit(ctx context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	if _, err := u.memory.Commit(ctx, conds, changes); err != nil {
+		return 0, err
+	}
+	return 0, statestore.ErrUnknown
+}
+
+// Of a cancellation without an answer the leader hears that it is in doubt, and against
+// which version; of one that was refused, that it wasn't carried out.
+func TestCancelInDoubt(t *testing.T) {
+	m, j, term := setup(t)
+	before, _ := j.Load(ctx, "j-1")
+	st, err := New(unanswered{m}, j.limits).Cancel(ctx, "j-1", time.Now(), UnderTerm(term))
+	want := core.CancelOutcome{Ref: "j-1", Unknown: true, Version: before.Version}
+	if got := CancelEvent("j-1", st, err); !errors.Is(err, ErrInDoubt) || got != want {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if now, _ := j.Load(ctx, "j-1"); now.Phase != pipeline.Cancelled {
+		t.Fatalf("%+v", now)
+	}
+	if got := CancelEvent("j-1", st, ErrNotOurs); got != (core.CancelOutcome{Ref: "j-1", Version: before.Version}) {
+		t.Fatalf("%+v", got)
+	}
+}
+
 // Between a cancellation and a result, the version of the one record decides.
 func TestCancelAgainstDone(t *testing.T) {
 	m, j, term := setup(t)
--- /dev/null
+++ b/internal/standin/cancel.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"context"
+	"errors"
+
+	"gingertally/internal/core"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/statestore"
+	"gingertally/internal/wire"
+)
+
+// commitLater reads at once, and keeps the one transaction that it is given, to be sent.
+type commitLater struct {
+	jobstore.Store
+	conds   []wire.Condition
+	changes []wire.Change
+}
+
+// Commit keeps the transaction; nobody knows yet what becomes of it.
+func (c *commitLater) Commit(_ context.Context, conds []wire.Condition, changes []wire.Change) (uint64, error) {
+	c.conds, c.changes = conds, changes
+	return 0, statestore.ErrUnknown
+}
+
+// cancel is a node's part in a cancellation, as the daemon's: confirmed hears of one that
+// its user may be told of. The transaction may be lost, late, or its answer lost.
+func (n *node) cancel(ref string, confirmed func(jobstore.State)) {
+	guard, eng := wire.Condition{Path: "nobody"}, n.eng
+	if n.entitled() {
+		guard = jobstore.UnderTerm(n.term)
+		n.step(core.CancelAsked{Ref: ref})
+	} else {
+		eng = nil
+	}
+	sent := &commitLater{Store: n.storeView()}
+	st, err := jobstore.New(sent, n.limits()).Cancel(bg, ref, n.local(), guard)
+	outcome := func() {
+		if eng != nil && n.eng == eng {
+			n.step(jobstore.CancelEvent(ref, st, err))
+		}
+		if err == nil {
+			confirmed(st)
+		}
+	}
+	if !errors.Is(err, jobstore.ErrInDoubt) {
+		outcome()
+		return
+	}
+	answered := false
+	var rev uint64
+	var refused error
+	n.call(func() {
+		if eng == nil && n.w.lease.held(n.w.now) {
+			refused = jobstore.ErrNotOurs
+			return
+		}
+		rev, refused = n.storeView().Commit(bg, sent.conds, sent.changes)
+	}, func() {
+		if answered {
+			return
+		}
+		answered = true
+		if err = refused; err == nil {
+			st.Version = rev
+		}
+		outcome()
+	})
+	life := n.life
+	n.w.after(callTimeout, func() {
+		n.run(life, func() {
+			if !answered {
+				answered = true
+				outcome()
+			}
+		})
+	})
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -11,7 +11,6 @@
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/jobstore"
 	"gingertally/internal/statestore"
-	"gingertally/internal/wire"
 )
 
 // userJob is a job as its user knows it.
@@ -243,37 +242,9 @@
 		return
 	}
 	j.askedCancel = true
-	jobs := n.jobs
-	var st jobstore.State
-	var eng *core.Engine
-	got := false
-	n.call(func() {
-		guard := wire.Condition{Path: "nobody"}
-		if n.entitled() {
-			guard, eng = jobstore.UnderTerm(n.term), n.eng
-		} else if j.w.lease.held(j.w.now) {
-			return
-		}
-		var err error
-		st, err = jobs.Cancel(bg, j.spec.Ref, n.local(), guard)
-		got = err == nil
-	}, func() {
-		if !got {
-			return
-		}
-		if eng != nil && n.eng == eng && !st.Over {
-			n.step(core.JobStored{Job: core.StoredJob{Record: st.Record, Version: st.Version}})
-		}
+	n.cancel(j.spec.Ref, func(st jobstore.State) {
 		j.w.check.told(j, core.JobView{Phase: st.Phase, Done: len(j.done)}, true)
 	})
-	life := n.life
-	j.w.after(callTimeout, func() {
-		n.run(life, func() {
-			if !got && eng != nil && n.eng == eng {
-				n.step(core.Doubt{Ref: j.spec.Ref})
-			}
-		})
-	})
 	j.w.after(3*time.Second, func() {
 		if j.told == pipeline.Active {
 			j.cancel()
