What failed is tried again within a minute, also on the only machine that fits

Cause: a task past its restart limit was held back for up to two minutes, and a job never went back to a machine where it had failed once, while the users' check allows 90 s of waiting once what made it fail is over.

--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -125,7 +125,7 @@
 func (g *planning) each(j *pipeline.Job, zone string, fn func(*placement.Slot) bool) {
 	more := true
 	g.floor.EachRoomy(&j.Spec, zone, func(s *placement.Slot) bool {
-		if j.BadOn[s.Machine.Name] {
+		if j.Avoids(g.now, s.Machine.Name) {
 			return true // it won't be placed there again
 		}
 		c := g.copies[s]
--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -186,7 +186,7 @@
 	var best *placement.Slot
 	low := math.Inf(1)
 	v.e.floor.EachOpen(&j.Spec, "", func(o *placement.Slot) {
-		if o == from || v.left[o] || j.BadOn[o.Machine.Name] ||
+		if o == from || v.left[o] || j.Avoids(v.now, o.Machine.Name) ||
 			(o.Machine.Busy() == 0 && o.Type.Price(o.Spot) > from.Type.Price(from.Spot)/2) ||
 			o.Machine.FetchLeft(v.now, j.Image, j.ImageGB, o.Type.FetchGBPerS) > moveOverhead {
 			return
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -34,7 +34,7 @@
 		for i := len(p.Slots) - 1; i >= 0; i-- {
 			s := p.Slots[i]
 			m := s.Machine
-			if s.Future || len(m.Tasks) > 0 || now.Sub(m.IdleSince) <= keep || awaited(p, m, demand) {
+			if s.Future || len(m.Tasks) > 0 || now.Sub(m.IdleSince) <= keep || awaited(now, p, m, demand) {
 				continue
 			}
 			e.release(now, m, "idle")
@@ -57,9 +57,9 @@
 
 // awaited tells whether waiting work could use the machine: a gang, say, that
 // still lacks room for some of its tasks.
-func awaited(p *placement.Pool, m *fleet.Machine, demand []capacity.Demand) bool {
+func awaited(now time.Time, p *placement.Pool, m *fleet.Machine, demand []capacity.Demand) bool {
 	for _, d := range demand {
-		if p.Allowed(&d.Job.Spec) && !d.Job.BadOn[m.Name] {
+		if p.Allowed(&d.Job.Spec) && !d.Job.Avoids(now, m.Name) {
 			return true
 		}
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -373,7 +373,7 @@
 		return
 	}
 	if !m.Sick {
-		j.BadOn[m.Name] = true
+		j.Avoid(now, m.Name)
 	}
 }
 
--- a/internal/core/pipeline/pipeline.go
+++ b/internal/core/pipeline/pipeline.go
@@ -122,10 +122,10 @@
 	Version    uint64
 	Tasks      []Task
 	counts     [3]int
-	Running    int          // tasks reported as running, for display
-	Started    bool         // a task of it has run
-	dirty      map[int]bool // chunks to be written
-	BadOn      map[string]bool
+	Running    int                  // tasks reported as running, for display
+	Started    bool                 // a task of it has run
+	dirty      map[int]bool         // chunks to be written
+	BadOn      map[string]time.Time // machines where it failed, and until when it avoids them
 	cursor     int
 }
 
@@ -139,7 +139,7 @@
 		return nil, fmt.Errorf("job %s: record without the jobs that it waits for", r.Spec.Ref)
 	}
 	j := &Job{Spec: r.Spec, Submitted: time.UnixMilli(r.SubmittedMS), phase: r.Phase, written: r.Phase, Version: version,
-		Tasks: make([]Task, r.Spec.Tasks), dirty: map[int]bool{}, BadOn: map[string]bool{}}
+		Tasks: make([]Task, r.Spec.Tasks), dirty: map[int]bool{}, BadOn: map[string]time.Time{}}
 	if r.CancelledMS != 0 {
 		j.CancelAt = time.UnixMilli(r.CancelledMS)
 	}
@@ -217,7 +217,8 @@
 
 // Abort counts an exit with an error against the task's restart limit and says
 // how long to hold the task back: a lone job is forcible, so past the limit it
-// is repeated at a slower and slower rate rather than failed.
+// is repeated at a slower and slower rate rather than failed. Once whatever made it fail
+// is over, it has to go on within a minute and a half (the users' check).
 func (j *Job) Abort(now time.Time, i, limit int) {
 	t := &j.Tasks[i]
 	if t.restarts < 1<<16-1 {
@@ -226,11 +227,25 @@
 	j.dirty[0] = true
 	wait := time.Second
 	if over := int(t.restarts) - limit; over > 0 {
-		wait = min(5*time.Second<<min(over, 6), 2*time.Minute)
+		wait = min(5*time.Second<<min(over, 6), abortWaitMost)
 	}
 	t.NotUntil = now.Add(wait)
 }
 
+// abortWaitMost is the longest that a task is held back after a bad exit, avoidFor how
+// long a job then avoids the machine: what made it fail there may be over.
+const (
+	abortWaitMost = time.Minute
+	avoidFor      = time.Minute
+)
+
+// Avoid has the job keep away from a machine where it failed; Avoids tells whether it
+// still does.
+func (j *Job) Avoid(now time.Time, machine string) { j.BadOn[machine] = now.Add(avoidFor) }
+
+// Avoids tells whether the job keeps away from a machine.
+func (j *Job) Avoids(now time.Time, machine string) bool { return now.Before(j.BadOn[machine]) }
+
 // HeldBack tells whether the job has failed so often on good machines that it
 // goes behind all others.
 func (j *Job) HeldBack(limit int) bool { return len(j.BadOn) > limit }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -315,7 +315,7 @@
 func (b *Board) open(j *pipeline.Job, zone string) []scored {
 	var out []scored
 	b.Floor.EachOpen(&j.Spec, zone, func(s *Slot) {
-		if !s.held(b.Now) && !j.BadOn[s.Machine.Name] {
+		if !s.held(b.Now) && !j.Avoids(b.Now, s.Machine.Name) {
 			out = append(out, scored{s, Score(b.Now, s, j, b.SecondsPerDollarHour, b.ReportEvery)})
 		}
 	})
--- a/internal/core/placement/preempt.go
+++ b/internal/core/placement/preempt.go
@@ -66,7 +66,7 @@
 }
 
 func (b *Board) usable(s *Slot, j *pipeline.Job, zones map[string]int) bool {
-	return s.reserved == nil && ZoneRoom(j, s.Zone, zones) > 0 && !j.BadOn[s.Machine.Name]
+	return s.reserved == nil && ZoneRoom(j, s.Zone, zones) > 0 && !j.Avoids(b.Now, s.Machine.Name)
 }
 
 // place is a slot that takes, or will take, a task of a waiting job.
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -503,3 +503,33 @@
 		t.Fatalf("%d starts while one machine isn't heard", n)
 	}
 }
+
+// A job that failed on the only machine that fits it is started there again within 90 s of
+// the end of what made it fail, as the users' check of a day's end demands.
+func TestFailedMachineIsTriedAgain(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1), job("j-2", 1)}})
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	var c, busy fleet.Command
+	for _, s := range starts(b.report("m-1", 2)) {
+		if s.Ref == "j-1" {
+			c = s
+		} else {
+			busy = s // keeps the machine in use
+		}
+	}
+	for range 9 { // past the restart limit
+		b.report("m-1", 2, running(busy), fleet.TaskReport{Ref: "j-1", Attempt: c.Attempt, State: fleet.Exited, Cause: fleet.CauseError})
+		b.e.machines["m-1"].Forgive() // other work goes well there
+		failed := b.now
+		for s := starts(b.report("m-1", 2, running(busy))); ; s = starts(b.report("m-1", 2, running(busy))) {
+			if len(s) > 0 {
+				c = s[0]
+				break
+			}
+			if b.pass(time.Second, true); b.now.Sub(failed) > 85*time.Second {
+				t.Fatal("not started again within 85 s, though its machine has room")
+			}
+		}
+	}
+}
