Leaders go on in an outage that all nodes see, by the others' promises; only leaders cancel

Ruled out: longer leases of the leader, which leave workers alone after each crash. Now every other node may promise to leave the place to the leader for 1.5 s; its right is carried on, never restored, while all have. Nobody but a leader under its term confirms cancellations any more, so a leader that goes on can't miss one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,8 +131,8 @@
 	d.passer.peers = d.peers
 	d.passer.answered = func() { d.health.PeerAnswered(time.Now()) }
 	// Claims wait for nobody's part of the rates.
-	d.lead = leadership.New(d.store.Part(state.RPS, state.WriteRPS), leadership.Options{Member: cfg.Member, TTL: leaseTTL,
-		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf}})
+	d.lead = leadership.New(d.store.Part(state.RPS, state.WriteRPS), leadership.Options{Member: cfg.Member, Others: d.peersFirstOf(""), TTL: leaseTTL,
+		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Deaf: d.deaf, Ask: d.askPromise}})
 	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.core.Teams}
 	d.agents = &agentapi.Service{Self: cfg.Member, Leader: agentLeader{d}}
 	return d, nil
@@ -246,15 +246,19 @@
 // errNotInTime says that the job's tasks can't be promised to be gone in time.
 var errNotInTime = errors.New("its tasks have to be proven gone first")
 
-// Cancel cancels a job as the leader, whose engine knows of it before the store does, or
-// while nobody leads.
+// Cancel cancels a job as the leader, whose engine knows of it before the store does. Any
+// other node only tells what is final already.
 func (d *Daemon) Cancel(ctx context.Context, ref string) (pipeline.Phase, error) {
 	r := d.reign.Load()
 	if r == nil || !r.entitled() {
-		if !d.core.CancelKept() {
-			return 0, errNotInTime // whether any of its tasks are on machines isn't known here
+		st, err := d.jobs.Load(ctx, ref)
+		switch {
+		case err != nil:
+		case !st.Found:
+			err = jobstore.ErrUnknownJob
+		case st.Phase == pipeline.Active:
+			err = jobstore.ErrNotOurs
 		}
-		st, err := d.jobs.Cancel(ctx, ref, time.Now(), jobstore.NobodyLeads())
 		return st.Phase, err
 	}
 	r.step(core.CancelAsked{Ref: ref})
--- a/internal/daemon/elsewhere.go
+++ b/internal/daemon/elsewhere.go
@@ -27,8 +27,9 @@
 
 // peersFirst lists the other nodes, the leader before the rest, which can serve
 // all calls.
-func (d *Daemon) peersFirst() []string {
-	leader := d.lead.Leader()
+func (d *Daemon) peersFirst() []string { return d.peersFirstOf(d.lead.Leader()) }
+
+func (d *Daemon) peersFirstOf(leader string) []string {
 	names := make([]string, 0, len(d.cfg.Peers))
 	for _, p := range d.cfg.Peers {
 		names = append(names, p.Member)
@@ -39,6 +40,32 @@
 	return names
 }
 
+// promisePath is where a leader asks a node to leave the place to it, see leadership.
+const (
+	promisePath = "/promise"
+	// probeFor bounds a node's look at whether the state service serves it.
+	probeFor = 300 * time.Millisecond
+)
+
+func (d *Daemon) askPromise(ctx context.Context, member string) bool {
+	status, _, err := d.peers.Relay(ctx, member, "POST", promisePath, nil)
+	if err == nil {
+		d.health.PeerAnswered(time.Now())
+	}
+	return err == nil && status == 200
+}
+
+// promise is the answer to a leader that can't renew its lease: a node that the state
+// service serves keeps the place open for the case that it is the leader alone that isn't.
+func (d *Daemon) promise(ctx context.Context) int {
+	ctx, cancel := context.WithTimeout(ctx, probeFor)
+	defer cancel()
+	if _, _, err := d.store.Get(ctx, leadership.HolderKey); err == nil || !d.lead.Promise() {
+		return 409
+	}
+	return 200
+}
+
 type passed struct {
 	status int
 	body   []byte
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -188,6 +188,8 @@
 		return a.Status, a.Body
 	case pingPath:
 		return 200, nil
+	case promisePath:
+		return d.promise(ctx), nil
 	case statusPath:
 		return 200, d.status(time.Now()).encode()
 	}
--- a/internal/daemon/reign.go
+++ b/internal/daemon/reign.go
@@ -218,7 +218,11 @@
 			}
 			if err != nil {
 				slog.Debug("write", "error", err)
-				if !sleep(r.ctx, 100*time.Millisecond) {
+				pause := 100 * time.Millisecond
+				if errors.Is(err, statestore.ErrUnavailable) {
+					pause = 300 * time.Millisecond // an outage in which this node goes on
+				}
+				if !sleep(r.ctx, pause) {
 					return r.ctx.Err()
 				}
 			}
@@ -251,7 +255,11 @@
 		r.step(core.Refused{Write: sent[0]})
 		return true, nil
 	}
-	r.step(core.Written{Batch: sent, Seen: r.reread(sent)})
+	var seen map[string]uint64
+	if !errors.Is(err, statestore.ErrUnavailable) { // else nothing has changed, and nothing can be read
+		seen = r.reread(sent)
+	}
+	r.step(core.Written{Batch: sent, Seen: seen})
 	return false, err
 }
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -256,9 +256,6 @@
 	}
 }
 
-// NobodyLeads is the guard of a cancellation while nobody leads.
-func NobodyLeads() wire.Condition { return wire.Condition{Path: leadership.HolderKey} }
-
 // UnderTerm is the guard of a cancellation by the leader itself.
 func UnderTerm(t leadership.Term) wire.Condition {
 	return wire.Condition{Path: leadership.TermKey, Stamp: t.Stamp}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -67,11 +67,15 @@
 	Elected func(ctx context.Context, t Term) // ctx ends with the term
 	Resumed func()                            // the right had lapsed and is proven again
 	Deaf    func() bool                       // nobody has reached this node of late
+	// Ask asks another node for its promise to leave the place to this one for
+	// PromiseFor from now on; nil: nobody is asked.
+	Ask func(ctx context.Context, member string) bool
 }
 
 // Options are a deployment's leadership timings.
 type Options struct {
 	Member string
+	Others []string // all other nodes that may ever claim
 	TTL    time.Duration
 	Hooks  Hooks
 }
@@ -88,10 +92,16 @@
 	until  time.Time // the right is proven up to here, by this node's steady clock
 	end    context.CancelFunc
 	resign bool
+
+	promises map[string]time.Time // of the others, and until when each holds
+	promised time.Time            // this node leaves the place to the leader until then
+	booted   time.Time            // it may have promised so before its process started
 }
 
 // New makes a node's part in leadership.
-func New(store Store, o Options) *Lead { return &Lead{o: o, store: store} }
+func New(store Store, o Options) *Lead {
+	return &Lead{o: o, store: store, booted: time.Now(), promises: map[string]time.Time{}}
+}
 
 // margin covers the drift of two steady clocks (0.05% each way) and the coarse
 // steps of timers.
@@ -101,16 +111,26 @@
 func (l *Lead) move(to Role) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.moveLocked(to)
+}
+
+func (l *Lead) moveLocked(to Role) {
 	if l.role == to {
 		return
 	}
 	slog.Info("role", "was", l.role.String(), "is", to.String(), "term", l.term.N)
 	l.role = to
 	if to != Leading {
-		l.until = time.Time{}
+		l.unproven()
 	}
 }
 
+// unproven ends the right at once.
+func (l *Lead) unproven() {
+	l.until = time.Time{}
+	clear(l.promises)
+}
+
 // Entitled tells whether this node may act at this moment.
 func (l *Lead) Entitled(now time.Time) bool {
 	l.mu.Lock()
@@ -138,7 +158,8 @@
 	defer l.mu.Unlock()
 	if l.role == Leading && !l.resign {
 		slog.Warn("resigning", "term", l.term.N, "why", why)
-		l.resign, l.until = true, time.Time{}
+		l.resign = true
+		l.unproven()
 	}
 }
 
@@ -146,7 +167,7 @@
 func (l *Lead) Deposed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.until = time.Time{}
+	l.unproven()
 	if l.end != nil {
 		l.end()
 	}
@@ -229,7 +250,15 @@
 // claim tries to take the free place, and if it succeeds, leads to the end of
 // the term.
 func (l *Lead) claim(ctx context.Context) bool {
-	l.move(Claiming)
+	if !l.mayClaim(ctx) {
+		pause(ctx, 50*time.Millisecond)
+		return false
+	}
+	defer func() { // a claim that failed is never acted on
+		if l.Role() == Claiming {
+			l.move(Follower)
+		}
+	}()
 	sent := time.Now()
 	lease, err := l.store.Grant(ctx, l.o.TTL)
 	if err != nil {
@@ -279,6 +308,7 @@
 	l.mu.Unlock()
 	l.move(Leading)
 	l.prove(sent)
+	go l.seekPromises(ctx)
 	l.o.Hooks.Elected(ctx, t)
 	next := Follower
 	for ctx.Err() == nil {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -36,6 +36,11 @@
 	until      time.Time
 	writing    bool
 	claimTried bool
+	claiming   int                 // which claim is under way, 0: none
+	claims     int                 // so far
+	promises   map[*node]time.Time // of the others to leave the place to this node, by its clock
+	promised   time.Time           // this node leaves the place to another until then
+	booted     time.Time
 }
 
 var bg = context.Background()
@@ -49,12 +54,15 @@
 	return n.w.start.Add(time.Duration(float64(n.w.now.Sub(n.w.start)) * n.rate))
 }
 
-func (n *node) entitled() bool { return !n.down && n.eng != nil && n.local().Before(n.until) }
+func (n *node) entitled() bool {
+	return !n.down && n.eng != nil && n.local().Before(n.until)
+}
 
 // boot starts the process; its loops end with it.
 func (n *node) boot() {
 	n.life++
 	n.down, n.eng, n.writing, n.until = false, nil, false, time.Time{}
+	n.claiming, n.promised, n.booted, n.promises = 0, time.Time{}, n.local(), map[*node]time.Time{}
 	n.health = health.New(n.local())
 	limits := n.limits()
 	limits.SureFor = n.w.o.Cancel / sureParts
@@ -153,6 +161,7 @@
 	w := n.w
 	sent := n.local()
 	if n.eng != nil {
+		n.askPromises()
 		lease, renewed, over := n.lease, false, false
 		n.call(func() {
 			switch {
@@ -178,6 +187,20 @@
 		return
 	}
 	n.claimTried = true
+	if !n.mayClaim() {
+		return
+	}
+	n.claims++
+	claim := n.claims
+	n.claiming = claim
+	life := n.life
+	w.after(callTimeout, func() { // without an answer by then it is never acted on
+		n.run(life, func() {
+			if n.claiming == claim {
+				n.claiming = 0
+			}
+		})
+	})
 	var t leadership.Term
 	var lease int
 	n.call(func() {
@@ -200,6 +223,10 @@
 			lease, t = w.lease.id, leadership.Term{N: tv.N, Stamp: rev}
 		}
 	}, func() {
+		if n.claiming != claim {
+			return
+		}
+		n.claiming = 0
 		if t.N != 0 && n.eng == nil {
 			n.elected(t, lease, sent)
 		}
@@ -231,7 +258,7 @@
 	if err != nil {
 		return
 	}
-	n.term, n.lease, n.writing = t, lease, false
+	n.term, n.lease, n.writing, n.until, n.promises = t, lease, false, time.Time{}, map[*node]time.Time{}
 	n.eng = core.New(n.local(), n.coreConfig(), t.N, snap, rand.New(rand.NewPCG(t.N, n.w.o.Seed)))
 	n.prove(sent)
 	n.step(core.Catalog{Types: n.w.catalog})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -60,6 +60,7 @@
 	cutZones    map[string]bool    // cut off from everything
 	apart       map[[2]string]bool // two zones that can't reach each other
 	peersRefuse bool               // connections between controllers are refused
+	promised    int                // how often promises have carried a leader's right on
 	falls       *falls             // nil: none
 	lines       *lines
 }
