--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -124,7 +124,8 @@
 
 // mayStop holds the protocol's rules of preemption: for a job of higher
 // priority, or to give a team its guarantee at the expense of one that is beyond
-// its own. The cost is the delay of saving and the work that is lost.
+// its own. The cost is the delay of saving and the work that is lost, in seconds of a
+// whole machine: many small tasks of an array are less than one gang.
 func (e *Engine) mayStop(now time.Time, by *pipeline.Job, a *fleet.Attempt) (float64, bool) {
 	j := e.jobs[a.Ref]
 	if j == nil || a.Foreign || a.Stopping || a.State() == fleet.Saving {
@@ -146,18 +147,30 @@
 	if j.Shape == pipeline.Gang {
 		cost *= float64(len(j.Tasks)) // they all stop
 	}
+	if t := e.catalog[a.On.Type]; t != nil {
+		cost *= placement.Share(t, &j.Spec)
+	}
 	return cost, true
 }
 
-// owed tells whether a job's team is within its guarantee with one more task,
-// and the other job's team beyond its own.
+// owed tells whether a job's team is within its guarantee with what the job needs at
+// once, and the other job's team beyond its own. Where both CPUs and GPUs are guaranteed,
+// both have to fit; a guarantee of none holds nothing back but gives nothing either.
 func (e *Engine) owed(by, j *pipeline.Job) bool {
 	if by.Team == j.Team {
 		return false
 	}
 	t, o := e.cfg.Teams[by.Team], e.cfg.Teams[j.Team]
 	u, ou := e.teamUse[by.Team], e.teamUse[j.Team]
-	within := u.CPUs+by.CPUs <= t.CPUs || (by.GPUs > 0 && u.GPUs+by.GPUs <= t.GPUs)
+	n := 1.0
+	if by.Shape == pipeline.Gang {
+		n = float64(len(by.Tasks))
+	}
+	cpus, gpus := u.CPUs+n*by.CPUs <= t.CPUs, u.GPUs+n*by.GPUs <= t.GPUs
+	within := cpus
+	if by.GPUs > 0 {
+		within = gpus && (cpus || t.CPUs == 0)
+	}
 	beyond := ou.CPUs > o.CPUs || ou.GPUs > o.GPUs
 	return within && beyond
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -185,6 +185,10 @@
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
+	if !d.core.CancelKept() {
+		slog.Warn("lease_s is too long for cancel_s: cancellations are confirmed only once all tasks are gone",
+			"bound", d.core.CancelBound(), "cancel", d.core.CancelWithin)
+	}
 	slog.Info("serving", "version", Version, "member", d.cfg.Member, "clients", d.cfg.ClientListen, "peers", d.cfg.PeerListen)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.serveHTTP(ctx, clients) })
