Places that keep the aim on starting come first

Cause: on the livestock mart replicas have to start within 1 s and gangs within 10 s, of which reports take up to 1.5 s and fetches up to 9 s; used machines were preferred to ones that answer in time. Test: TestStartsInTimeForItsAim.

--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -192,7 +192,7 @@
 			return
 		}
 		if c := v.copyOf(o); c.Free(&j.Spec) > 0 {
-			if sc := placement.Score(v.now, c, j, v.e.cfg.Weights.SecondsPerDollarHour, 0); sc < low {
+			if sc := placement.Score(v.now, c, j, v.e.cfg.Weights.SecondsPerDollarHour, 0, time.Time{}); sc < low {
 				best, low = c, sc
 			}
 		}
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -63,6 +63,7 @@
 		},
 		EndOf:    func(a *fleet.Attempt) time.Time { return e.endOf(now, a) },
 		Due:      func(j *pipeline.Job) time.Time { return e.needsRoomBy(now, j) },
+		StartBy:  func(j *pipeline.Job) time.Time { return e.startBy(now, j) },
 		MayStop:  func(by *pipeline.Job, a *fleet.Attempt) (float64, bool) { return e.mayStop(now, by, a) },
 		Stop:     func(a *fleet.Attempt) { e.preempt(now, a) },
 		Preempts: func(by *pipeline.Job) bool { return by.Urgency < lowest || teams > 1 },
@@ -198,6 +199,17 @@
 	lateFactor = 2
 )
 
+// startBy is when a job's tasks must have started for the next of its aims on starting;
+// zero if it has none that it can still keep.
+func (e *Engine) startBy(now time.Time, j *pipeline.Job) (by time.Time) {
+	for _, a := range e.cfg.Aims[j.Class] {
+		if t := j.Since.Add(a.Within); a.Kind == AimStart && t.After(now) && (by.IsZero() || t.Before(by)) {
+			by = t
+		}
+	}
+	return by
+}
+
 // dueStart is when a job must have started to keep the next of its aims, or of
 // those of the last job of its line.
 func (e *Engine) dueStart(now time.Time, j *pipeline.Job) time.Time {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -168,15 +168,27 @@
 // left whole is what large tasks and gangs need, and what can be given back.
 const fullerSeconds = 10.0
 
+// lateSeconds weighs a start that misses its aim, startLag is what a start takes besides
+// the wait for an answer and the fetch: the write before it, and the way there.
+const (
+	lateSeconds = 15.0
+	startLag    = 100 * time.Millisecond
+)
+
 // Score ranks slots for a task; the lowest is best. It adds up the time until
 // the machine can be told and the image is there, what the place costs, and how
 // much of the machine is free, so that room stays whole and machines empty out.
-func Score(now time.Time, s *Slot, j *pipeline.Job, secondsPerDollarHour float64, reportEvery time.Duration) float64 {
+// Where a task would start too late for the aim of starting by a time (zero: there is none,
+// or it has passed), that counts too.
+func Score(now time.Time, s *Slot, j *pipeline.Job, secondsPerDollarHour float64, reportEvery time.Duration, startBy time.Time) float64 {
 	sp := &j.Spec
 	score := (Share(s.Type, sp) + waste(s, sp)) * s.Type.Price(s.Spot) * secondsPerDollarHour
 	if s.Machine != nil {
-		score += s.Machine.FetchLeft(now, sp.Image, sp.ImageGB, s.Type.FetchGBPerS).Seconds()
-		score += s.Machine.AnswerIn(now, reportEvery).Seconds()
+		starts := s.Machine.FetchLeft(now, sp.Image, sp.ImageGB, s.Type.FetchGBPerS) + s.Machine.AnswerIn(now, reportEvery)
+		score += starts.Seconds()
+		if now.Before(startBy) && now.Add(starts+startLag).After(startBy) {
+			score += lateSeconds
+		}
 	}
 	score += fullerSeconds * s.CPUs / s.Type.CPUs
 	if s.Machine != nil && s.Machine.Errors > 0 {
@@ -217,6 +229,7 @@
 	Unmet   func(j *pipeline.Job, tasks int)
 	EndOf   func(a *fleet.Attempt) time.Time // when an attempt is expected to leave
 	Due     func(j *pipeline.Job) time.Time  // when a job must start to keep its next aim
+	StartBy func(j *pipeline.Job) time.Time  // when its tasks must have started for its next aim on starting
 	// MayStop tells whether an attempt may be stopped for a job, and what that
 	// would cost in seconds; Stop stops it. Preempts tells whether it is worth
 	// asking.
@@ -314,9 +327,10 @@
 // open lists the slots with room for the job, the best first.
 func (b *Board) open(j *pipeline.Job, zone string) []scored {
 	var out []scored
+	startBy := b.StartBy(j)
 	b.Floor.EachOpen(&j.Spec, zone, func(s *Slot) {
 		if !s.held(b.Now) && !j.Avoids(b.Now, s.Machine.Name) {
-			out = append(out, scored{s, Score(b.Now, s, j, b.SecondsPerDollarHour, b.ReportEvery)})
+			out = append(out, scored{s, Score(b.Now, s, j, b.SecondsPerDollarHour, b.ReportEvery, startBy)})
 		}
 	})
 	sort.SliceStable(out, func(i, k int) bool { return out[i].score < out[k].score })
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -60,6 +60,7 @@
 		Unmet:    func(_ *pipeline.Job, n int) { b.unmet += n },
 		EndOf:    func(*fleet.Attempt) time.Time { return now.Add(time.Minute) },
 		Due:      func(*pipeline.Job) time.Time { return now.Add(time.Second) },
+		StartBy:  func(*pipeline.Job) time.Time { return time.Time{} },
 		MayStop:  func(_ *pipeline.Job, a *fleet.Attempt) (float64, bool) { return 1, a.Ref == "j-9" },
 		Stop:     func(a *fleet.Attempt) { b.stopped = append(b.stopped, a) },
 		Preempts: func(*pipeline.Job) bool { return true },
@@ -231,3 +232,24 @@
 		machines[0].AnswerHeld = true
 	}
 }
+
+// Where it must start by a time that it can still keep, a task goes to the machine that
+// answers in time, though another one is used more.
+func TestStartsInTimeForItsAim(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		by   time.Time
+		want string
+	}{{time.Time{}, "m-1"}, {now.Add(2 * time.Second), "m-2"}, {now.Add(time.Millisecond), "m-1"}} {
+		used, idle := machine("m-1", "cpu", "a"), machine("m-2", "cpu", "a")
+		used.LastHeard, idle.LastHeard = now.Add(-4*time.Second), now.Add(-7*time.Second)
+		used.Add(now, &fleet.Attempt{Key: fleet.Key{Ref: "j-8"}, CPUs: 6}, fleet.Running)
+		b := newBoard(t, []*pipeline.Job{job(t, pipeline.Spec{Ref: "j-1", Tasks: 1, CPUs: 1})}, used, idle)
+		b.ReportEvery = 8 * time.Second
+		b.StartBy = func(*pipeline.Job) time.Time { return c.by }
+		new(Round).Run(&b.Board)
+		if len(b.placed) != 1 || b.placed[0].Slot.Machine.Name != c.want {
+			t.Errorf("by %s: placed %+v, want %s", c.by.Sub(now), b.placed, c.want)
+		}
+	}
+}
