--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -19,10 +19,13 @@
 	broken  error
 	// attempts seen, to catch numbers used twice
 	used map[string]*machine
+	// starts that reached a machine after their job's user knew that it is cancelled
+	startsCancelled int
+	waiting         map[*userJob]time.Time // see waits
 }
 
 func newChecker(w *World) *checker {
-	return &checker{w: w, on: map[string]map[*task]bool{}, used: map[string]*machine{}}
+	return &checker{w: w, on: map[string]map[*task]bool{}, used: map[string]*machine{}, waiting: map[*userJob]time.Time{}}
 }
 
 func (c *checker) fail(format string, args ...any) {
@@ -62,9 +65,7 @@
 			c.fail("too_early: %s starts, and %s isn't stored as done", key, p.spec.Ref)
 		}
 	}
-	if t.job.told == pipeline.Cancelled && c.w.now.Sub(t.job.cancelTold) > c.w.o.Cancel {
-		c.fail("ran_cancelled: %s starts", key)
-	}
+	c.goesOn(t, "starts")
 }
 
 func (c *checker) each(fn func(*task)) {
@@ -193,6 +194,7 @@
 	}
 	if v.Phase == pipeline.Cancelled && j.told != pipeline.Cancelled {
 		j.cancelTold = c.w.now
+		c.w.script.confirmed(j)
 		c.w.after(c.w.o.Cancel, func() {
 			c.each(func(t *task) {
 				if t.job == j {
@@ -201,6 +203,9 @@
 			})
 		})
 	}
+	if j.told != v.Phase {
+		j.toldAt = c.w.now
+	}
 	j.told = v.Phase
 }
 
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -58,7 +58,7 @@
 		if c.w.chance(0.05) {
 			d = time.Hour // never comes up
 		}
-		names = append(names, c.create(r.Type, r.Zone, r.Spot, d))
+		names = append(names, c.create(r.Type, r.Zone, r.Spot, c.w.script.boot(d)))
 	}
 	c.answered[r.Name] = names
 	return names, false, true
--- /dev/null
+++ b/internal/standin/looks.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+	"gingertally/internal/userapi"
+	"gingertally/internal/wire"
+)
+
+// closeLooks has users ask right after a job was accepted, ended or cancelled.
+func (s *script) closeLooks() {
+	s.onAccepted = append(s.onAccepted, s.lookAt)
+	s.onConfirmed = append(s.onConfirmed, s.lookAt)
+	s.onEnded = append(s.onEnded, func(j *userJob) {
+		for _, d := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+			s.at(d, func() { s.lookAt(j) })
+		}
+	})
+}
+
+// lookAt asks all nodes about a job within milliseconds, several times, and repeats
+// its submission.
+func (s *script) lookAt(j *userJob) {
+	for range 3 {
+		for _, n := range s.w.nodes {
+			s.at(s.between(1, 10*time.Millisecond), func() { s.ask(n, j) })
+		}
+	}
+	n := s.w.nodes[s.rng.IntN(len(s.w.nodes))]
+	s.at(s.between(1, 10*time.Millisecond), func() { s.resubmit(n, j) })
+}
+
+// ask asks a node about a job: the answer is found some milliseconds after the
+// question, and arrives some later.
+func (s *script) ask(n *node, j *userJob) {
+	asked, life := s.w.now, n.life
+	s.at(s.between(0, 4*time.Millisecond), func() {
+		n.run(life, func() {
+			v, known, ok := n.view(j.spec.Ref)
+			if !ok {
+				return
+			}
+			s.at(s.between(0, 4*time.Millisecond), func() {
+				s.note("close looks")
+				s.w.check.answered(j, asked, v, known)
+			})
+		})
+	})
+}
+
+// leaderView is the leader as a node's users' calls see it.
+type leaderView struct{ n *node }
+
+func (l leaderView) View(ref string) (v core.JobView, ok bool) {
+	if !l.n.entitled() {
+		return v, false
+	}
+	return l.n.eng.Lookup(ref)
+}
+
+func (l leaderView) Ask(_ context.Context, ref string) (v core.JobView, ok bool) {
+	for _, o := range l.n.w.nodes {
+		if o != l.n && l.n.reaches(o) && o.entitled() {
+			return o.eng.Lookup(ref)
+		}
+	}
+	return v, false
+}
+
+// Cancel isn't called here: cancellations have their own way.
+func (l leaderView) Cancel(context.Context, string) (pipeline.Phase, error) {
+	return pipeline.Active, context.Canceled
+}
+
+func (n *node) service() *userapi.Service {
+	return &userapi.Service{Jobs: n.jobs, Leader: leaderView{n}, Teams: n.w.teams, Catalog: func() placement.Catalog { return n.w.catalog }}
+}
+
+// post sends a submission's body to a node; status 0: no answer.
+func (s *script) post(n *node, body any) userapi.Answer {
+	if n.down || n.still() || n.cutOff() {
+		return userapi.Answer{}
+	}
+	return n.service().Submit(context.Background(), wire.MustMarshal(body))
+}
+
+var shapeNames = map[pipeline.Shape]string{pipeline.Array: "sweep", pipeline.Gang: "ensemble", pipeline.Service: "service"}
+
+var urgencyNames = map[pipeline.Priority]string{
+	pipeline.Production: "production", pipeline.High: "urgent", pipeline.Normal: "normal", pipeline.Low: "idle",
+}
+
+// bodyOf is the submission of a job as its user sends it.
+func bodyOf(s *pipeline.Spec) map[string]any {
+	b := map[string]any{"ref": s.Ref, "lot_kind": s.Class, "owner": s.Team, "shape": shapeNames[s.Shape], "urgency": urgencyNames[s.Priority],
+		"lots": s.Tasks, "vcpus": s.CPUs, "cards": s.GPUs, "mem_gb": s.MemGB, "kit": s.Image, "pull_gb": s.ImageGB, "builds": nil, "yard": nil,
+		"one_zone": s.OneZone, "apart": s.Spread, "loaners": s.Spot, "guess_s": s.Estimate.Seconds(), "mark_s": s.Checkpoint.Seconds(),
+		"stash_s": s.Save.Seconds(), "due_s": nil}
+	if s.Types != nil {
+		b["builds"] = s.Types
+	}
+	if s.Zone != "" {
+		b["yard"] = s.Zone
+	}
+	return b
+}
+
+// resubmit repeats the submission of an accepted job: it is never refused, and its
+// answer is never older than what its user knew.
+func (s *script) resubmit(n *node, j *userJob) {
+	if !j.accepted {
+		return
+	}
+	asked, life := s.w.now, n.life
+	s.at(s.between(0, 4*time.Millisecond), func() {
+		n.run(life, func() {
+			a := s.post(n, bodyOf(&j.spec))
+			var v core.JobView
+			switch a.Status {
+			case 0, 503:
+				return
+			case 200, 201:
+				v.Phase = phaseOf(a)
+			default:
+				s.w.check.fail("forgotten: a repeated submission of %s gets %d", j.spec.Ref, a.Status)
+			}
+			s.note("repeated submissions answered")
+			if j.told != pipeline.Active {
+				s.note("repeated submissions of jobs over answered")
+			}
+			s.at(s.between(0, 4*time.Millisecond), func() { s.w.check.answered(j, asked, v, true) })
+		})
+	})
+}
+
+func phaseOf(a userapi.Answer) pipeline.Phase {
+	st, _ := a.Body.(wire.RunState)
+	switch st.Status {
+	case "done":
+		return pipeline.Done
+	case "aborted":
+		return pipeline.Cancelled
+	}
+	return pipeline.Active
+}
+
+// oddRequests has users, every so often, repeat submissions, cancel jobs that are
+// done, and submit what can't run or lacks a field.
+func (s *script) oddRequests(from, period time.Duration) {
+	s.every(from, period, func() {
+		n := s.w.nodes[s.rng.IntN(len(s.w.nodes))]
+		var over, open []*userJob
+		for _, j := range s.sortedJobs() {
+			switch {
+			case !j.accepted:
+			case j.told == pipeline.Active:
+				open = append(open, j)
+			default:
+				over = append(over, j)
+			}
+		}
+		if len(open) > 0 {
+			s.resubmit(n, open[s.rng.IntN(len(open))])
+		}
+		if len(over) > 0 {
+			j := over[s.rng.IntN(len(over))]
+			s.resubmit(n, j)
+			if j.told == pipeline.Done {
+				s.note("cancellations of jobs done")
+				j.cancel()
+			}
+		}
+		s.hopeless(n)
+	})
+}
+
+// hopeless submits a job that can't run or lacks a field; it must be refused.
+func (s *script) hopeless(n *node) {
+	s.jobs++
+	sp := pipeline.Spec{Class: "c", Team: "red", Image: "img-0", ImageGB: 1, Tasks: 2, CPUs: 1, MemGB: 1, Priority: pipeline.Normal, Estimate: time.Second}
+	sp.Ref = fmt.Sprintf("j-8%05d", s.jobs)
+	b := bodyOf(&sp)
+	want := 422
+	switch s.rng.IntN(6) {
+	case 0:
+		b["owner"] = "nobody"
+	case 1:
+		b["vcpus"] = 1000.0
+	case 2:
+		b["builds"] = []string{"none"}
+	case 3:
+		b["shape"], b["lots"] = "ensemble", 21 // the team's limit is 20
+	case 4:
+		b["yard"] = "nowhere"
+	case 5:
+		want = 400
+		fields := []string{"ref", "lot_kind", "owner", "shape", "urgency", "lots", "vcpus", "cards", "mem_gb", "kit", "pull_gb", "one_zone", "apart",
+			"loaners", "guess_s", "mark_s", "stash_s"}
+		if f := fields[s.rng.IntN(len(fields))]; s.chance(0.5) {
+			delete(b, f)
+		} else {
+			b[f] = nil
+		}
+	}
+	a := s.post(n, b)
+	switch {
+	case a.Status == 0 || a.Status == 503:
+		return
+	case a.Status != want:
+		s.w.check.fail("accepted: a submission that must get %d gets %d: %v", want, a.Status, b)
+	case s.w.store.items["j/"+sp.Ref] != nil:
+		s.w.check.fail("accepted: %s is stored and was refused: %v", sp.Ref, b)
+	}
+	s.note("hopeless submissions refused")
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -28,6 +28,8 @@
 	down       bool
 	stillUntil time.Time // stands still until then, its clocks running on
 	noStore    bool      // cut off from the state service
+	refused    bool      // refused by the state service, alone
+	unanswered bool      // what it is just sending gets no answer
 	noWorkers  bool      // cut off from the workers
 	noPeers    bool      // cut off from the other controllers
 	eng        *core.Engine
@@ -78,7 +80,7 @@
 func (n *node) keepContact() {
 	switch {
 	case n.cutOff():
-	case n.w.store.down:
+	case n.storeDown():
 		n.health.StoreRefused(n.local())
 	default:
 		n.health.StoreServed(n.local())
@@ -137,9 +139,11 @@
 		}
 		lost = w.chance(0.01)
 	}
+	there, back = there+w.script.slowness(), back+w.script.slowness()
 	w.after(there, func() {
+		n.unanswered = false
 		at()
-		if !lost {
+		if !lost && !n.unanswered {
 			w.after(back, func() { n.run(life, answer) })
 		}
 	})
@@ -156,7 +160,7 @@
 		lease, renewed, over := n.lease, false, false
 		n.call(func() {
 			switch {
-			case w.store.down:
+			case n.storeDown():
 			case w.lease.alive(w.now, lease):
 				w.lease.until, renewed = w.now.Add(w.o.LeaseTTL), true
 			default:
@@ -181,7 +185,7 @@
 	var t leadership.Term
 	var lease int
 	n.call(func() {
-		if w.store.down || w.lease.held(w.now) {
+		if n.storeDown() || w.lease.held(w.now) {
 			return
 		}
 		var tv struct {
@@ -404,7 +408,7 @@
 		n.run(life, func() {
 			switch {
 			case n.eng != eng:
-			case n.cutOff() || w.store.down:
+			case n.cutOff() || n.storeDown():
 				w.watched(n, eng, ref, time.Second)
 			default:
 				n.refresh(ref)
--- a/internal/standin/production.go
+++ b/internal/standin/production.go
@@ -94,9 +94,9 @@
 // storeView is the state service as the node's version sees it.
 func (n *node) storeView() jobstore.Store {
 	if n.old {
-		return productionView{n.w.store}
+		return nodeView{productionView{n.w.store}, n}
 	}
-	return n.w.store
+	return nodeView{n.w.store, n}
 }
 
 // limits are those of the state service that the node's version obeys.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -19,10 +19,13 @@
 	w           *World
 	spec        pipeline.Spec
 	run         time.Duration
+	runs        []time.Duration // of each task, if they differ
 	mistake     bool
 	wantsCancel bool
 	accepted    bool
 	told        pipeline.Phase
+	toldAt      time.Time // since when
+	errors      int       // how often a task of it failed
 	cancelTold  time.Time
 	done        map[int]bool
 	asked       time.Time // when it was first submitted
@@ -135,6 +138,7 @@
 		n.call(func() { answered = j.taken(jobs.Create(bg, j.spec, j.awaits(), j.w.now)) }, func() {
 			if answered && !j.accepted {
 				j.accepted, j.acceptedAt = true, j.w.now
+				j.w.script.accepted(j)
 			}
 		})
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,6 +22,8 @@
 	hungUntil   time.Time
 	sick        bool
 	deaf        bool // its reports arrive, but nothing that it is told
+	mute        bool // it reaches no controller, while direct commands reach it
+	errors      int  // how many tasks failed on it
 	life        int  // rises when its worker starts anew
 	noticeAt    time.Time
 	cut         map[*node]bool
@@ -169,7 +171,14 @@
 
 func (m *machine) deliver(n *node, r fleet.Report, sent time.Time) {
 	w := m.w
-	delay := w.between(time.Millisecond, 20*time.Millisecond)
+	delay := w.between(time.Millisecond, 20*time.Millisecond) + w.script.linkDelay()
+	if m.mute {
+		w.script.note("reports of mute machines")
+		return
+	}
+	if w.script.takes(m, n, r, sent) {
+		return
+	}
 	if m.blocked(n) {
 		if n.down || w.chance(0.5) {
 			return
@@ -230,6 +239,7 @@
 	if w.falls != nil {
 		delay += w.falls.standstill() // between the check of its right and the answer
 	}
+	delay += w.script.linkDelay() + w.script.answerHeld(m, status, reply)
 	m.later(delay, func() {
 		if m.life == life {
 			m.response(r, sent, status, reply, leader)
@@ -295,6 +305,7 @@
 	if m.blocked(n) || (w.o.Faults && !w.noNet && w.chance(0.05)) {
 		delay = w.between(0, 30*time.Second)
 	}
+	delay += w.script.linkDelay() + w.script.ordersHeld(m)
 	m.later(delay, func() {
 		if m.isUp && d.Token >= m.token && d.Session == m.session {
 			m.token = d.Token
@@ -339,6 +350,7 @@
 		return
 	}
 	t := &task{m: m, job: j, index: c.Task, attempt: c.Attempt, state: fleet.Fetching}
+	m.w.check.begun(t)
 	var cpus, gpus, mem float64
 	for _, o := range m.tasks {
 		if o.state == fleet.Exited {
@@ -407,6 +419,7 @@
 }
 
 func (t *task) run() {
+	t.m.w.check.goesOn(t, "runs")
 	t.state = fleet.Running
 	if t.job.began.IsZero() {
 		t.job.began = t.m.w.now
@@ -416,7 +429,7 @@
 	case t.m.sick || t.job.mistake:
 		t.timer(time.Second, func() { t.exit(fleet.CauseError, false) })
 	case t.job.spec.Shape == pipeline.Array:
-		t.timer(t.job.run, func() { t.job.done[t.index] = true; t.exit(fleet.CauseDone, false) })
+		t.timer(t.job.runOf(t.index), func() { t.job.done[t.index] = true; t.exit(fleet.CauseDone, false) })
 	case t.job.spec.Shape == pipeline.Gang:
 		t.timer(t.job.run, func() {
 			for _, o := range t.job.mates(t.attempt) {
@@ -445,6 +458,14 @@
 	t.state, t.cause, t.saved = fleet.Exited, c, saved
 	t.off()
 	t.m.changed()
+	switch c {
+	case fleet.CauseError:
+		t.m.errors++
+		t.job.errors++
+	case fleet.CauseDone:
+		t.m.w.check.goesOn(t, "completes")
+		t.m.w.script.taskDone(t)
+	}
 }
 
 // off notes that the task is no longer on its machine; its gang notices.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -62,6 +62,7 @@
 	peersRefuse bool               // connections between controllers are refused
 	falls       *falls             // nil: none
 	lines       *lines
+	script      *script // nil: none
 }
 
 type event struct {
@@ -151,6 +152,7 @@
 		}
 		w.now = e.at
 		e.fn()
+		w.script.look()
 		if err := w.check.broken; err != nil {
 			return fmt.Errorf("seed %d, %.3f s: %w", w.o.Seed, w.now.Sub(w.start).Seconds(), err)
 		}
