--- a/internal/standin/looks.go
+++ b/internal/standin/looks.go
@@ -36,12 +36,13 @@
 }
 
 // ask asks a node about a job: the answer is found some milliseconds after the
-// question, and arrives some later.
+// question, and arrives some later. Half of the questions meet a moment at which the
+// leader can't be asked, and are answered from the store.
 func (s *script) ask(n *node, j *userJob) {
 	asked, life := s.w.now, n.life
 	s.at(s.between(0, 4*time.Millisecond), func() {
 		n.run(life, func() {
-			v, known, ok := n.view(j.spec.Ref)
+			v, known, ok := s.get(n, j.spec.Ref)
 			if !ok {
 				return
 			}
@@ -110,6 +111,22 @@
 	return b
 }
 
+// get is what a node's users' calls answer to a question.
+func (s *script) get(n *node, ref string) (v core.JobView, known, ok bool) {
+	if s.chance(0.5) {
+		return n.view(ref)
+	}
+	a := n.service().Get(context.Background(), ref)
+	switch a.Status {
+	case 200:
+		v.Phase = phaseOf(a)
+		return v, true, true
+	case 404:
+		return v, false, true
+	}
+	return v, false, false
+}
+
 // resubmit repeats the submission of an accepted job: it is never refused, and its
 // answer is never older than what its user knew.
 func (s *script) resubmit(n *node, j *userJob) {
