--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -81,7 +81,9 @@
 			j.cancel()
 		}
 	}
-	w.check.waits()
+	if !w.o.Faults {
+		w.check.waits()
+	}
 }
 
 func (s *script) over() bool { return !s.w.peace.IsZero() }
