--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -63,6 +63,7 @@
 	promised    int                // how often promises have carried a leader's right on
 	falls       *falls             // nil: none
 	lines       *lines
+	script      *script // nil: none
 }
 
 type event struct {
@@ -152,6 +153,7 @@
 		}
 		w.now = e.at
 		e.fn()
+		w.script.look()
 		if err := w.check.broken; err != nil {
 			return fmt.Errorf("seed %d, %.3f s: %w", w.o.Seed, w.now.Sub(w.start).Seconds(), err)
 		}
