standin: promises where one node is refused; more copies of earlier sessions in their row

That row brought 6 copies of earlier sessions about where 10 are wanted, once leaders went on in outages: reports are copied twice as often there; what is asked for stays.

--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -389,7 +389,7 @@
 	{name: "old reports, also of earlier sessions", noise: true, script: func(s *script) {
 		s.long(6, 0)
 		s.short(30, 0, 120*time.Second)
-		s.lateReports(0.3, s.w.o.Length, false)
+		s.lateReports(0.6, s.w.o.Length, false)
 		s.every(30*time.Second, 25*time.Second, func() {
 			for _, m := range s.some(0.3, busy) {
 				if s.chance(0.5) {
--- a/internal/standin/promise.go
+++ b/internal/standin/promise.go
@@ -74,7 +74,7 @@
 	if n.old || n.eng != nil || n.claiming != 0 {
 		return false
 	}
-	if !n.w.store.down && !n.cutOff() && !n.w.chance(0.2) {
+	if !n.storeDown() && !n.cutOff() && !n.w.chance(0.2) {
 		return false
 	}
 	n.promised = n.local().Add(leadership.PromiseFor)
