--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -340,18 +340,22 @@
 		s.note("refused commits")
 		return 0, statestore.ErrUnavailable
 	}
-	if s == nil || s.lost == 0 || v.n.storeDown() || !s.chance(s.lost) {
+	if v.n.late == 0 && (s == nil || s.lost == 0 || v.n.storeDown() || !s.chance(s.lost)) {
 		return v.Store.Commit(ctx, conds, changes)
 	}
 	v.n.unanswered = true
-	if s.atOnce {
+	if s.atOnce && v.n.late == 0 {
 		if _, err := v.Store.Commit(ctx, conds, changes); err == nil {
 			s.note("answers of transactions lost")
 		}
 		return 0, statestore.ErrUnknown
 	}
 	sent := s.w.store.rev
-	s.w.after(s.between(2*time.Second, 12*time.Second), func() {
+	late := v.n.late
+	if late == 0 {
+		late = s.between(2*time.Second, 12*time.Second)
+	}
+	s.w.after(late, func() {
 		newer := s.w.store.rev > sent
 		if _, err := v.Store.Commit(ctx, conds, changes); err == nil && newer {
 			s.note("late transactions carried out")
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -507,6 +507,32 @@
 		changes(s, 20*time.Second, 20*time.Second, 10*time.Millisecond, 300*time.Millisecond)
 		s.every(20*time.Second, 20*time.Second, func() { s.cancelNow(1, 0) })
 	}, least: map[string]int{"leaders": 40, "leaders ended": 40, "confirmed": 10}},
+
+	{name: "cancellations cross writes of their jobs, late and slow", noise: true, script: func(s *script) {
+		for range 30 {
+			j := s.add(s.between(0, 100*time.Second), pipeline.Spec{Tasks: 8, CPUs: 1, MemGB: 1, Team: "green"}, 20*time.Second)
+			for range j.spec.Tasks {
+				j.runs = append(j.runs, s.between(2*time.Second, 40*time.Second))
+			}
+		}
+		someCancel(s, 0.8, 30*time.Second)
+		s.closeLooks()
+		s.every(5*time.Second, 12*time.Second, func() {
+			s.slow = s.between(0, 700*time.Millisecond)
+			s.lateWrites(0.5, 8*time.Second, s.chance(0.3))
+		})
+		s.every(5*time.Second, 250*time.Millisecond, func() {
+			for _, j := range s.sortedJobs() {
+				if j.askedCancel && j.accepted && j.told == pipeline.Active {
+					s.note("questions while a cancellation is open")
+					for _, n := range s.w.nodes {
+						s.ask(n, j)
+					}
+				}
+			}
+		})
+	}, least: map[string]int{"called off": 50, "confirmed": 30, "questions while a cancellation is open": 200, "slow calls": 1000, "late transactions carried out": 8,
+		"answers of transactions lost": 15}},
 }
 
 // TestMeetings plays worlds in which troubles meet at just the wrong moments, and
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -26,12 +26,13 @@
 	old        bool    // runs the version in production
 	jobs       *jobstore.Jobs
 	down       bool
-	stillUntil time.Time // stands still until then, its clocks running on
-	noStore    bool      // cut off from the state service
-	refused    bool      // refused by the state service, alone
-	unanswered bool      // what it is just sending gets no answer
-	noWorkers  bool      // cut off from the workers
-	noPeers    bool      // cut off from the other controllers
+	stillUntil time.Time     // stands still until then, its clocks running on
+	noStore    bool          // cut off from the state service
+	refused    bool          // refused by the state service, alone
+	unanswered bool          // what it is just sending gets no answer
+	late       time.Duration // how much later its transaction is carried out
+	noWorkers  bool          // cut off from the workers
+	noPeers    bool          // cut off from the other controllers
 	eng        *core.Engine
 	term       leadership.Term
 	lease      int // the lease that its right stands on
@@ -123,7 +124,11 @@
 
 // call sends something to the state service or the cloud: it may be lost on
 // the way, executed late, or its answer lost.
-func (n *node) call(at func(), answer func()) {
+func (n *node) call(at func(), answer func()) { n.send(at, answer, false) }
+
+// send is call. In worlds with a script, what takes longer than the node waits for is
+// a transaction whose conditions were read in time, unless it travels whole.
+func (n *node) send(at func(), answer func(), whole bool) {
 	w, life := n.w, n.life
 	if n.cutOff() {
 		if w.chance(0.3) { // held back, and delivered when the cut is over
@@ -140,9 +145,14 @@
 		lost = w.chance(0.01)
 	}
 	there, back = there+w.script.slowness(), back+w.script.slowness()
+	var late time.Duration
+	if w.script != nil && !whole && there > callTimeout {
+		there, late, lost = 30*time.Millisecond, there, true
+	}
 	w.after(there, func() {
-		n.unanswered = false
+		n.unanswered, n.late = false, late
 		at()
+		n.late = 0
 		if !lost && !n.unanswered {
 			w.after(back, func() { n.run(life, answer) })
 		}
@@ -158,7 +168,7 @@
 	sent := n.local()
 	if n.eng != nil {
 		lease, renewed, over := n.lease, false, false
-		n.call(func() {
+		n.send(func() {
 			switch {
 			case n.storeDown():
 			case w.lease.alive(w.now, lease):
@@ -174,7 +184,7 @@
 			case renewed:
 				n.prove(sent)
 			}
-		})
+		}, true)
 		return
 	}
 	if n.claimTried && w.chance(0.5) {
@@ -184,7 +194,7 @@
 	n.claimTried = true
 	var t leadership.Term
 	var lease int
-	n.call(func() {
+	n.send(func() {
 		if n.storeDown() || w.lease.held(w.now) {
 			return
 		}
@@ -207,7 +217,7 @@
 		if t.N != 0 && n.eng == nil {
 			n.elected(t, lease, sent)
 		}
-	})
+	}, true)
 }
 
 // storeLease is the lease under the leader's key.
