--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -16,6 +16,7 @@
 	w       *World
 	on      map[string]map[*task]bool // tasks on machines, by name
 	started int
+	newest  uint64 // term of the leaders so far
 	broken  error
 	// attempts seen, to catch numbers used twice
 	used map[string]*machine
@@ -108,6 +109,23 @@
 	}
 }
 
+// leaders checks after each event that no two nodes may act at once, and none of an
+// earlier term than one that could before.
+func (c *checker) leaders() {
+	var who *node
+	for _, n := range c.w.nodes {
+		switch {
+		case !n.entitled():
+		case who != nil:
+			c.fail("two leaders: %s of term %d and %s of term %d", who.name, who.term.N, n.name, n.term.N)
+		case n.term.N < c.newest:
+			c.fail("leader of the past: %s acts in term %d after term %d", n.name, n.term.N, c.newest)
+		default:
+			who, c.newest = n, n.term.N
+		}
+	}
+}
+
 func (c *checker) left(t *task) { delete(c.on[name(t)], t) }
 
 // stored looks at each change to the store: a job over is never taken back.
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -46,6 +46,7 @@
 	answers float64       // share of answers to reports held up
 	orders  float64       // share of direct commands held up
 	quick   bool          // machines are up within two seconds of their rental
+	anyway  bool          // nodes leave the place to a leader though the state service serves them
 }
 
 // waitFor is something to do once a condition holds.
@@ -68,7 +69,7 @@
 	w.noNet, w.store.down, w.cloud.down, w.peersRefuse, w.peace = true, false, false, false, w.now
 	clear(w.cutZones)
 	clear(w.apart)
-	s.slow, s.lost, s.link, s.copies, s.holds, s.answers, s.orders = 0, 0, 0, 0, 0, 0, 0
+	s.slow, s.lost, s.link, s.copies, s.holds, s.answers, s.orders, s.anyway = 0, 0, 0, 0, 0, 0, 0, false
 	for _, n := range w.nodes {
 		n.noStore, n.noWorkers, n.noPeers, n.refused = false, false, false, false
 	}
@@ -210,6 +211,8 @@
 	return s.between(0, s.slow)
 }
 
+func (s *script) promisesAnyway() bool { return s != nil && s.anyway }
+
 // linkDelay is how much longer a message between worker and controller takes.
 func (s *script) linkDelay() time.Duration {
 	if s == nil || s.link == 0 {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -508,6 +508,39 @@
 		s.every(20*time.Second, 20*time.Second, func() { s.cancelNow(1, 0) })
 	}, least: map[string]int{"leaders": 40, "leaders ended": 40, "confirmed": 10}},
 
+	{name: "leaders change around an outage, nodes that promised end", noise: true, script: func(s *script) {
+		s.long(8, 0)
+		s.short(25, 0, 120*time.Second)
+		s.every(20*time.Second, 33*time.Second, func() {
+			s.withLeader(func(old *node) {
+				// Refused alone, the old leader hasn't learnt that another leads when that one ends.
+				s.refuse(old, s.between(20*time.Second, 30*time.Second))
+				s.afterLeader(old, func(n *node) {
+					s.cancelNow(1, 0)
+					s.at(s.between(0, 3*time.Second), func() {
+						s.crash(n, s.between(10*time.Millisecond, 500*time.Millisecond))
+						s.at(s.between(0, 2*time.Second), func() { s.outage(s.between(2*time.Second, 12*time.Second)) })
+					})
+				})
+			})
+		})
+		s.every(10*time.Second, 7*time.Second, func() { s.outage(s.between(time.Second, 6*time.Second)) })
+		s.every(15*time.Second, 4*time.Second, func() { s.anyway = s.chance(0.6) })
+		s.every(10*time.Second, time.Second, func() { // who has promised ends, and is back at once
+			for _, n := range s.w.nodes {
+				if n.local().Before(n.promised) && s.chance(0.1) {
+					s.note("nodes that had promised ended")
+					s.crash(n, s.between(10*time.Millisecond, 300*time.Millisecond))
+				}
+			}
+		})
+		s.at(s.w.o.Length-time.Second, func() {
+			for range s.w.promised {
+				s.note("rights carried on")
+			}
+		})
+	}, least: map[string]int{"rights carried on": 40, "nodes that had promised ended": 20, "refused nodes": 8, "leaders": 16, "leaders ended": 8, "confirmed": 8}},
+
 	{name: "cancellations cross writes of their jobs, late and slow", noise: true, script: func(s *script) {
 		for range 30 {
 			j := s.add(s.between(0, 100*time.Second), pipeline.Spec{Tasks: 8, CPUs: 1, MemGB: 1, Team: "green"}, 20*time.Second)
--- a/internal/standin/promise.go
+++ b/internal/standin/promise.go
@@ -74,7 +74,7 @@
 	if n.old || n.eng != nil || n.claiming != 0 {
 		return false
 	}
-	if !n.storeDown() && !n.cutOff() && !n.w.chance(0.2) {
+	if served := !n.storeDown() && !n.cutOff(); served && !n.w.script.promisesAnyway() && !n.w.chance(0.2) {
 		return false
 	}
 	n.promised = n.local().Add(leadership.PromiseFor)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -153,6 +153,7 @@
 		}
 		w.now = e.at
 		e.fn()
+		w.check.leaders()
 		w.script.look()
 		if err := w.check.broken; err != nil {
 			return fmt.Errorf("seed %d, %.3f s: %w", w.o.Seed, w.now.Sub(w.start).Seconds(), err)
