--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -94,6 +94,7 @@
 	resign bool
 
 	promises map[string]time.Time // of the others, and until when each holds
+	carried  bool                 // they have carried the right on since the lease was last renewed
 	promised time.Time            // this node leaves the place to the leader until then
 	booted   time.Time            // it may have promised so before its process started
 }
@@ -350,6 +351,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if u := sent.Add(l.o.TTL - margin(l.o.TTL)); !l.resign && u.After(l.until) {
-		l.until = u
+		l.until, l.carried = u, false
 	}
 }
--- a/internal/leadership/promise.go
+++ b/internal/leadership/promise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 )
@@ -73,9 +74,14 @@
 			until = p
 		}
 	}
-	if until.After(l.until) {
-		l.until = until
+	if !until.After(l.until) {
+		return
+	}
+	l.until = until
+	if !l.carried {
+		slog.Warn("the state service doesn't renew the lease; going on by the others' promises", "term", l.term.N)
 	}
+	l.carried = true
 }
 
 // Promise has this node leave the place to whoever leads for PromiseFor; false if it
