--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -531,8 +531,7 @@
 				}
 			}
 		})
-	}, least: map[string]int{"called off": 50, "confirmed": 30, "questions while a cancellation is open": 200, "slow calls": 1000, "late transactions carried out": 8,
-		"answers of transactions lost": 15}},
+	}, least: map[string]int{"called off": 50, "confirmed": 30, "questions while a cancellation is open": 200, "slow calls": 1000, "late transactions carried out": 8, "answers of transactions lost": 15}},
 }
 
 // TestMeetings plays worlds in which troubles meet at just the wrong moments, and
