--- a/internal/daemon/elsewhere.go
+++ b/internal/daemon/elsewhere.go
@@ -58,6 +58,9 @@
 // promise is the answer to a leader that can't renew its lease: a node that the state
 // service serves keeps the place open for the case that it is the leader alone that isn't.
 func (d *Daemon) promise(ctx context.Context) int {
+	if d.health.StoreFresh(time.Now(), time.Second) {
+		return 409
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeFor)
 	defer cancel()
 	if _, _, err := d.store.Get(ctx, leadership.HolderKey); err == nil || !d.lead.Promise() {
--- a/internal/leadership/promise.go
+++ b/internal/leadership/promise.go
@@ -99,7 +99,7 @@
 // mayClaim tells whether this node may claim now, and is about to: from then on it
 // promises nothing. One that has just started waits, unless nobody has ever led.
 func (l *Lead) mayClaim(ctx context.Context) bool {
-	if time.Since(l.booted) < PromiseFor && l.o.Hooks.Ask != nil {
+	if time.Since(l.booted) < PromiseFor && l.o.Hooks.Ask != nil && len(l.o.Others) > 0 {
 		if _, found, err := l.store.Get(ctx, TermKey); err != nil || found {
 			return false
 		}
