--- /dev/null
+++ b/internal/core/aged_test.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/pipeline"
+)
+
+// An old small job and a later, more urgent one that needs most of the only machine: what
+// the first is given isn't taken from it again, round after round, before it has left.
+// Without that neither started on a hunted day, for ten minutes.
+func TestAgedJobKeepsItsPlace(t *testing.T) {
+	old, urgent := job("j-1", 1), job("j-2", 1)
+	old.Record.Spec.CPUs, old.Record.Spec.Priority, old.Record.SubmittedMS = 4, pipeline.Normal, 4_700_000
+	urgent.Record.Spec.CPUs, urgent.Record.Spec.Priority, urgent.Record.SubmittedMS = 6, pipeline.High, 4_998_000
+	old.Record.Spec.Estimate, urgent.Record.Spec.Class = time.Minute, "u"
+	cfg := config()
+	cfg.Aims = map[string][]Aim{"u": {{Kind: AimStart, Within: 30 * time.Second}}}
+	b := newBenchWith(t, cfg, 2, Snapshot{Jobs: []StoredJob{old, urgent}})
+	b.up("m-1")
+	for range 50 { // the store is slow: nothing can leave yet
+		b.now = b.now.Add(200 * time.Millisecond)
+		for _, n := range b.e.Step(b.now, Tick{}).Notes {
+			if n.Text == "preempted" {
+				t.Fatalf("taken again before it has left: %v", n.Args)
+			}
+		}
+	}
+	b.pass(time.Second, true)
+	s := starts(b.report("m-1", 2))
+	if len(s) != 1 || s[0].Ref != "j-1" {
+		t.Fatalf("starts %v, want that of the job that has waited for long", s)
+	}
+}
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -132,7 +132,7 @@
 	if j == nil || a.Foreign || a.Stopping || a.State() == fleet.Saving {
 		return 0, false
 	}
-	if by.Urgency >= j.Urgency && !e.owed(by, j) {
+	if by.Urgency >= j.Urgency && !e.owed(by, j) || e.agedBefore(now, j, by) {
 		return 0, false
 	}
 	cost := 10 + j.Save.Seconds()
@@ -154,6 +154,13 @@
 	return cost, true
 }
 
+// agedBefore tells whether a job of which nothing has begun for long comes before another:
+// what it has just been given mustn't be taken from it again, round after round, so that
+// neither ever starts.
+func (e *Engine) agedBefore(now time.Time, j, by *pipeline.Job) bool {
+	return e.aged(now, j) && !(e.aged(now, by) && e.agedSince(by).Before(e.agedSince(j)))
+}
+
 // owed tells whether a job's team is within its guarantee with what the job needs at
 // once, and the other job's team beyond its own. Where both CPUs and GPUs are guaranteed,
 // both have to fit; a guarantee of none holds nothing back but gives nothing either.
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -63,7 +63,7 @@
 		if j.Shape == pipeline.Array {
 			most = 1 + most/agedPart
 		}
-		out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: j.Since.Add(-e.gatherTime(j))})
+		out = append(out, rank{Turn: placement.Turn{Job: j, Most: most}, aged: true, due: e.agedSince(j)})
 	}
 	size := time.Duration(float64(e.workLeft(j)) * e.cfg.Weights.SmallFirst / machines)
 	size = time.Duration(float64(size) * min(1, max(0, 2-float64(wait)/float64(sizeFades))))
@@ -99,6 +99,9 @@
 	return !j.Started && now.Sub(j.Since) > e.agesAfter(j)
 }
 
+// agedSince is what aged jobs are ordered by among themselves.
+func (e *Engine) agedSince(j *pipeline.Job) time.Time { return j.Since.Add(-e.gatherTime(j)) }
+
 // needsRoomBy is when a job must have room if it isn't to be late; one that has
 // waited for long is late already, whatever aim it can still keep.
 func (e *Engine) needsRoomBy(now time.Time, j *pipeline.Job) time.Time {
