No fixed limit below 4,000 machines

Need: the service also runs with 4,000 machines. The leader now ends its term before. - 64 relayed calls of a node at once: the reports of a zone of 1,300 machines, held for up to 2 s each, wait for each other. Now 2,048. - connections: with more workers than sockets, those that came first kept theirs and all others were turned away for good. Now connections of workers too are closed once answered when fewer than 3% are left. - a watch's answer of more than 8 MiB was asked for again and again. Now all is read anew. Pages of the start log and image log, the cloud's list, status and redirects had none.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -24,6 +24,15 @@
 // attemptBits is the room for the attempts of one term in an attempt's number.
 const attemptBits = 24
 
+// attemptReserve is how many numbers are left when a term counts as used up: more than one
+// round of decisions and its rentals take.
+const attemptReserve = 1 << 16
+
+// attemptsUsedUp tells whether this term has no attempt numbers left. A fleet of thousands of
+// machines uses them up within hours; the next number would be one of the next term
+// (TestTermEndsBeforeItsNumbers).
+func (e *Engine) attemptsUsedUp() bool { return e.counter >= 1<<attemptBits-attemptReserve }
+
 // nextAttempt makes a number that no other term can have made (docs/design.md, safety
 // argument 3).
 func (e *Engine) nextAttempt() uint64 {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -58,7 +58,7 @@
 
 // An unchanged report costs the same in a large fleet as in a small one.
 func BenchmarkReport(b *testing.B) {
-	for _, n := range []int{100, 2000} {
+	for _, n := range []int{100, 500, 2000, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			e, now, reports := busyFleet(n)
 			for i := 0; b.Loop(); i++ {
@@ -74,7 +74,7 @@
 // A tick without news costs next to nothing; one that runs a round and a plan
 // follows the backlog.
 func BenchmarkRound(b *testing.B) {
-	for _, n := range []int{100, 2000} {
+	for _, n := range []int{100, 500, 2000, 4000} {
 		for _, news := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%d/news=%v", n, news), func(b *testing.B) {
 				e, now, _ := busyFleet(n)
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -43,6 +43,10 @@
 	if len(e.catalog) == 0 || !e.settled(now) || (!e.replan && now.Sub(e.placedAt) < decideEvery) {
 		return
 	}
+	if e.attemptsUsedUp() {
+		e.out.Resign = "the term's attempt numbers are used up"
+		return
+	}
 	e.replan, e.placedAt = false, now
 	e.updateFreeCapacity(now)
 	plan := now.Sub(e.plannedAt) >= e.planEvery()
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -153,7 +153,8 @@
 	Direct  []Direct
 	Rent    []Rent
 	Release [][]string
-	Deposed bool // a higher term exists
+	Deposed bool   // a higher term exists
+	Resign  string // if not empty, why this term has to end; another one can go on
 	Notes   []Note
 }
 
--- /dev/null
+++ b/internal/core/fleet_size_test.go
@@ -0,0 +1,108 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+)
+
+// largeFleet is the number of machines that a deployment may have at the least.
+const largeFleet = 4000
+
+// storedPages is the start log as the state service holds it.
+type storedPages map[string]StoredPage
+
+// write takes in a batch as the state service would.
+func (s storedPages) write(batch []Write, version uint64) {
+	for _, w := range batch {
+		switch w.Kind {
+		case WritePage:
+			s[w.Name] = StoredPage{Name: w.Name, Record: w.Page, Version: version}
+		case DropPage:
+			delete(s, w.Name)
+		}
+	}
+}
+
+// No fixed limit stands below 4,000 machines: a leader starts a task on each of them, its
+// start log names all, and the next leader knows each and keeps every task.
+func TestFourThousandMachines(t *testing.T) {
+	now := time.Unix(5000, 0)
+	jobs := make([]StoredJob, 0, 8)
+	for i := range 8 {
+		j := job(fmt.Sprintf("j-%06d", i), largeFleet/8)
+		j.Record.Spec.CPUs = 8 // a whole machine
+		j.Record.SubmittedMS = now.UnixMilli()
+		jobs = append(jobs, j)
+	}
+	b := newBench(t, 2, Snapshot{Jobs: jobs})
+	pages := storedPages{}
+	tasks := map[string][]fleet.TaskReport{}
+	names := make([]string, largeFleet)
+	for i := range names {
+		names[i] = fmt.Sprintf("m-%06d", i)
+	}
+	report := func(term uint64) {
+		for _, name := range names {
+			b.seq[name]++
+			r := fleet.Report{Machine: name, Addr: name, Type: "big", Zone: "a", Session: 1, Seq: b.seq[name], Token: term, Notice: -1, Tasks: tasks[name]}
+			reply := b.e.Step(b.now, ReportIn{r}).Reply
+			if reply.Hold {
+				reply = b.e.Step(b.now.Add(maxReplyHold+time.Second), Collect{r}).Reply
+			}
+			for _, c := range starts(*reply) {
+				tasks[name] = append(tasks[name], running(c))
+			}
+		}
+	}
+	report(0)
+	for version := uint64(100); len(tasks) < largeFleet && version < 160; version++ {
+		b.now = b.now.Add(time.Second)
+		b.e.Step(b.now, Tick{})
+		for batch := b.e.Batch(b.now, 30); len(batch) > 0; batch = b.e.Batch(b.now, 30) {
+			b.e.Step(b.now, Sending{batch})
+			b.e.Step(b.now, Written{Batch: batch, OK: true, Version: version})
+			pages.write(batch, version)
+		}
+		report(2)
+	}
+	if len(tasks) != largeFleet {
+		t.Fatalf("%d of %d machines got a task", len(tasks), largeFleet)
+	}
+	next := Snapshot{Jobs: jobs}
+	for _, p := range pages {
+		next.Pages = append(next.Pages, p)
+	}
+	b.e = New(b.now, config(), 3, next, rand.New(rand.NewPCG(1, 2)))
+	if len(b.e.machines) != largeFleet || b.e.unheard != largeFleet {
+		t.Fatalf("the next leader knows %d machines", len(b.e.machines))
+	}
+	report(2)
+	report(3)
+	for _, name := range names {
+		if m := b.e.machines[name]; m.State() != fleet.Live || m.Busy() != 1 {
+			t.Fatalf("%s is %v with %d tasks under the next leader", name, m.State(), m.Busy())
+		}
+	}
+	if s := b.e.Status(b.now); s.Pools[0].States["live"] != largeFleet || s.Pools[0].Attempts != largeFleet {
+		t.Fatalf("the status shows %+v", s.Pools[0])
+	}
+}
+
+// An attempt's number has room for so many in a term. The next ones would be those of the
+// next term, so the term has to end before.
+func TestTermEndsBeforeItsNumbers(t *testing.T) {
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 1)}})
+	b.up("m-1")
+	b.e.counter = 1<<attemptBits - attemptReserve
+	b.now = b.now.Add(6 * time.Second)
+	if effects := b.e.Step(b.now, Tick{}); effects.Resign == "" {
+		t.Fatal("the term goes on without numbers")
+	}
+	if n := b.e.machines["m-1"].Busy(); n != 0 {
+		t.Fatalf("%d tasks were placed without numbers", n)
+	}
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -46,7 +46,9 @@
 	server = &fasthttp.Server{
 		Handler: func(request *fasthttp.RequestCtx) {
 			d.handle(ctx, request)
-			if crowded(int(server.GetOpenConnectionsCount()), server.Concurrency) && string(request.Path()) != beatPath {
+			open := int(server.GetOpenConnectionsCount())
+			isReport := string(request.Path()) == beatPath
+			if full(open, server.Concurrency) || crowded(open, server.Concurrency) && !isReport {
 				request.SetConnectionClose()
 			}
 		},
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -70,3 +70,8 @@
 // crowded tells whether what is left of a node's connections is wanted by workers:
 // users' are then closed once answered, and spread over the other nodes.
 func crowded(open, limit int) bool { return open > limit*9/10 }
+
+// full tells whether so few connections are left that workers' connections are closed as
+// well once answered. Where there are more machines than a node has sockets, all of them are
+// then served in turn (TestMoreWorkersThanSockets).
+func full(open, limit int) bool { return open > limit*97/100 }
--- a/internal/daemon/session.go
+++ b/internal/daemon/session.go
@@ -139,6 +139,10 @@
 		s.daemon.elector.Deposed()
 		return effects
 	}
+	if effects.Resign != "" {
+		s.daemon.elector.Resign(effects.Resign)
+		return effects
+	}
 	for _, command := range effects.Direct {
 		s.daemon.commands.send(s, command)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,8 +21,10 @@
 const (
 	// maxMessage bounds a message between nodes: a user's or worker's body and a little.
 	maxMessage = 128 << 10
-	// maxStreams bounds the requests of one node at once.
-	maxStreams = 64
+	// maxStreams bounds the requests of one node at once. A node that relays the reports
+	// of a zone with more than a thousand machines has about one of them under way for
+	// each, since the leader may hold an answer for 2 s.
+	maxStreams = 2048
 	// bufferSize keeps the many mostly idle connections small.
 	bufferSize = 8 << 10
 )
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -188,7 +188,7 @@
 			n.w.Trace(n.w.now.Sub(n.w.start), n.name, x.Text, x.Args)
 		}
 	}
-	if eff.Deposed {
+	if eff.Deposed || eff.Resign != "" {
 		n.eng = nil
 		return core.Effects{}
 	}
--- a/internal/statestore/keys.go
+++ b/internal/statestore/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/url"
 
@@ -131,6 +132,8 @@
 	query := fmt.Sprintf("/follow?starts=%s&since=%d&block_ms=%d", url.QueryEscape(prefix), since, watchBlock.Milliseconds())
 	status, body, err := c.do(ctx, call{c.watches, fasthttp.MethodGet, query, nil, watchTimeout})
 	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return news, ErrCompacted // asked for again, it would be as large
 	case err != nil:
 		return news, err
 	case status == fasthttp.StatusGone:
