Warm state of a leader: core, stream and replica, played in the simulation

Change: the core notes changes of what the state service doesn't hold (machines, attempts and since when they run, classes, refused offers, machines that jobs avoid), and takes such a state over at the start of a term. An attempt whose start hasn't left belongs to no session of a worker: it isn't lost with one. The daemon doesn't use any of it yet.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -63,6 +63,7 @@
 	u.zones[m.Zone]++
 	e.teamUse[u.team] = e.teamUse[u.team].Plus(a)
 	e.touch(m)
+	e.warm.noteAttempt(a)
 	if st == fleet.Running {
 		u.running++
 	}
@@ -74,6 +75,7 @@
 	if !m.MoveAttempt(now, a, to) {
 		return
 	}
+	e.warm.noteAttempt(a)
 	u := e.useOf(a.Ref)
 	if was == fleet.Running {
 		u.running--
@@ -92,7 +94,7 @@
 func (e *Engine) settleExit(now time.Time, m *fleet.Machine, a *fleet.Attempt, was fleet.TaskState) {
 	if was == fleet.Sent || was == fleet.Fetching {
 		if m.FetchGivenUp(now, a.Image, was) {
-			e.images.machineChanged(m.Name)
+			e.imagesChanged(m)
 		}
 	}
 	u := e.useOf(a.Ref)
@@ -292,6 +294,7 @@
 // taskFailed weighs an exit with an error against the machine before the job.
 func (e *Engine) taskFailed(now time.Time, m *fleet.Machine, j *pipeline.Job, task int) {
 	m.Blame(j.Ref)
+	e.warm.noteJob(j.Ref)
 	j.TaskFailed(now, task, e.cfg.RestartLimit)
 	e.jobWrites.jobChanged(j)
 	e.touch(m)
@@ -318,6 +321,7 @@
 	c.runs++
 	weight := max(1/float64(c.runs), minRunWeight)
 	c.ratio += (ratio - c.ratio) * weight
+	e.warm.noteClass(j.Class)
 }
 
 const (
--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -33,14 +33,28 @@
 
 // Plan remembers which offers were refused of late, and which requests are under way.
 type Plan struct {
-	backoffs  map[Offer]backoff
+	backoffs  map[Offer]Backoff
 	requested map[Offer]int // machines, by offer
 }
 
-// backoff is how long an offer is left alone after refusals.
-type backoff struct {
-	until    time.Time
-	refusals int // in a row
+// Backoff is how long an offer is left alone after refusals.
+type Backoff struct {
+	Until    time.Time
+	Refusals int // in a row
+}
+
+// Backoff tells how long an offer is left alone; false if it isn't.
+func (p *Plan) Backoff(o Offer) (Backoff, bool) {
+	b, refused := p.backoffs[o]
+	return b, refused
+}
+
+// SetBackoff has an offer left alone, as another leader had found it refused.
+func (p *Plan) SetBackoff(o Offer, b Backoff) {
+	if p.backoffs == nil {
+		p.backoffs = map[Offer]Backoff{}
+	}
+	p.backoffs[o] = b
 }
 
 // An offer is left alone for minBackoff after a refusal, for twice as long after each
@@ -78,11 +92,11 @@
 // backOff leaves an offer alone for a while.
 func (p *Plan) backOff(now time.Time, o Offer) {
 	if p.backoffs == nil {
-		p.backoffs = map[Offer]backoff{}
+		p.backoffs = map[Offer]Backoff{}
 	}
 	b := p.backoffs[o]
-	b.until = now.Add(min(minBackoff<<min(b.refusals, maxDoublings), maxBackoff))
-	b.refusals++
+	b.Until = now.Add(min(minBackoff<<min(b.Refusals, maxDoublings), maxBackoff))
+	b.Refusals++
 	p.backoffs[o] = b
 }
 
@@ -104,7 +118,7 @@
 
 // available tells whether an offer may be asked for now.
 func (p *Plan) available(now time.Time, o Offer) bool {
-	return !p.backoffs[o].until.After(now) && p.requested[o] == 0
+	return !p.backoffs[o].Until.After(now) && p.requested[o] == 0
 }
 
 // Choose plans what to rent for work that nothing has room for, after what the
@@ -318,7 +332,7 @@
 				continue
 			}
 			out.Requested = out.Requested || p.requested[o] > 0
-			out.AllRefused = out.AllRefused && p.backoffs[o].until.After(now)
+			out.AllRefused = out.AllRefused && p.backoffs[o].Until.After(now)
 		}
 	}
 	return out
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -47,7 +47,7 @@
 	cache, rate := e.catalog.Images(m.Type)
 	a.SentAt, a.FetchGuess = now, m.FetchLeft(now, a.Image, imageGB, rate)
 	m.UseImage(now, a.Image, imageGB, cache, rate)
-	e.images.machineChanged(m.Name)
+	e.imagesChanged(m)
 	e.debug("start", "job", a.Ref, "task", a.Task, "machine", m.Name, "attempt", a.Number)
 }
 
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -24,11 +24,15 @@
 // settled tells whether a new leader has heard enough to place: nearly all
 // machines that the start log names, or one report period has passed. What it
 // places on is proven free in any case; with few machines heard it would choose
-// badly.
+// badly. After a warm start, machines that are expected count as heard, and half of them are
+// enough.
 func (e *Engine) settled(now time.Time) bool {
 	if now.Sub(e.started) > e.cfg.ReportEvery*5/4+time.Second {
 		return true
 	}
+	if e.warmOutcome.Expected > 0 && 2*e.unheard <= len(e.machines) {
+		return true // the rest differs from what the leader before knew, and is waited for
+	}
 	return len(e.machines) > 0 && !e.lastList.IsZero() && e.unheard <= len(e.machines)/unheardPart
 }
 
@@ -144,7 +148,7 @@
 			e.freeCapacity.Remove(m)
 		case m.State() == fleet.Booting && m.Known && now.Sub(m.FirstSeen) <= e.slowBoot(t):
 			e.freeCapacity.Set(m, t, true)
-		case m.State() == fleet.Live && m.Confirmed && m.Known && !hasForeign(m):
+		case m.State() == fleet.Live && m.Confirmed && m.Known && !hasForeign(m), m.Expected:
 			e.freeCapacity.Set(m, t, false)
 		default:
 			e.freeCapacity.Remove(m)
--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -16,6 +16,7 @@
 	c := e.class(j.Class)
 	c.arrived(now, j.Count(pipeline.Waiting))
 	c.spec = &j.Spec
+	e.warm.noteClass(j.Class)
 	e.replan = true
 }
 
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -32,6 +32,7 @@
 	RoundBudget  int           // tasks looked at in one round of decisions
 	Weights      Weights       // of money against lateness
 	Debug        bool          // notes at debug level are wanted
+	WarmState    bool          // changes of the warm state are to be noted, see WarmChanges
 }
 
 // Weights say what money is worth against lateness.
@@ -114,6 +115,10 @@
 	jobWrites    jobWrites
 	images       imageLog
 	jobEndsFirst bool // whose turn it is in the next batch
+
+	// Warm standby.
+	warm        *warmFeed // nil: off
+	warmOutcome WarmOutcome
 }
 
 // Reply answers a report.
@@ -212,6 +217,9 @@
 		emptying:      map[*fleet.Machine]bool{},
 		replan:        true,
 	}
+	if cfg.WarmState {
+		e.warm = newWarmFeed()
+	}
 	e.graph = pipeline.NewGraph(e.expectedDuration)
 	e.startLog = newStartLog(&e.cfg, e.newPageName)
 	e.jobWrites = newJobWrites()
@@ -270,6 +278,13 @@
 func (e *Engine) touch(m *fleet.Machine) {
 	e.changed[m] = true
 	e.replan = true
+	e.warm.noteMachine(m.Name)
+}
+
+// imagesChanged notes that what is known of a machine's images has changed.
+func (e *Engine) imagesChanged(m *fleet.Machine) {
+	e.images.machineChanged(m.Name)
+	e.warm.noteMachine(m.Name)
 }
 
 // Tick lets time pass: silence, leases, cancellations, rounds of decisions.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -155,6 +155,7 @@
 // removeJob forgets a job that is over.
 func (e *Engine) removeJob(j *pipeline.Job) {
 	delete(e.jobs, j.Ref)
+	e.warm.noteJob(j.Ref)
 	e.graph.Remove(j)
 	e.forgetUse(j.Ref)
 	if i := slices.Index(e.order, j); i >= 0 {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -81,7 +81,10 @@
 	if !m.Move(to) {
 		return false
 	}
-	if was == fleet.Unheard {
+	switch {
+	case m.Expected:
+		m.Expected = false // it wasn't counted
+	case was == fleet.Unheard:
 		e.unheard--
 	}
 	e.timers.schedule(m, now)
@@ -104,6 +107,7 @@
 	delete(e.unreachable, m)
 	e.images.machineGone(m.Name)
 	e.gone[m.Name] = now
+	e.warm.noteMachine(m.Name)
 	e.note("machine gone", "machine", m.Name)
 }
 
@@ -173,6 +177,9 @@
 	case fleet.Live, fleet.Silent, fleet.Unheard:
 		e.checkSilence(now, m)
 		e.releaseUnreachable(now, m)
+		if m.Expected && now.Sub(m.LastHeard) > e.silentAfter() {
+			e.expectNoLonger(now, m)
+		}
 		switch {
 		case m.State() == fleet.Live && !m.Sick && !m.Draining && !e.unreachable[m]:
 			next = m.LastHeard.Add(e.silentAfter() + time.Millisecond)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -137,6 +137,9 @@
 // (docs/design.md, safety argument 5; TestInheritedAttemptNeedsConfirmedReport).
 func (e *Engine) endSession(now time.Time, m *fleet.Machine, r *fleet.Report) {
 	for _, a := range sortedAttempts(m) {
+		if a.State() <= fleet.Recorded && !a.Inherited {
+			continue // its start hasn't left, so it belongs to no session yet
+		}
 		if !listsAttempt(r, a) && (!a.Inherited || m.Confirmed) {
 			e.attemptLost(now, m, a, "session over")
 		}
@@ -216,7 +219,7 @@
 	}
 	e.moveAttempt(now, m, a, t.State)
 	if t.State != fleet.Fetching && a.Image != "" && m.ImageThere(now, a.Image, e.imageGB(a.Ref)) {
-		e.images.machineChanged(m.Name)
+		e.imagesChanged(m)
 	}
 	if j := e.jobs[t.Ref]; j != nil && t.State == fleet.Running {
 		j.Started = true
--- /dev/null
+++ b/internal/core/warm_start_test.go
@@ -0,0 +1,252 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gingertally/internal/core/capacity"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// warmBench is a leader whose changes of the warm state are noted.
+func warmBench(t *testing.T, term uint64, snap Snapshot) *bench {
+	cfg := config()
+	cfg.WarmState = true
+	return newBenchWith(t, cfg, term, snap)
+}
+
+// warmTable is the warm state as a follower has it.
+type warmTable map[WarmKey]WarmRecord
+
+func (w warmTable) take(e *Engine, now time.Time) {
+	for records := e.WarmChanges(now, 10); len(records) > 0; records = e.WarmChanges(now, 10) {
+		for _, r := range records {
+			if r.Machine == nil && r.Attempt == nil && r.Class == nil && r.Offer == nil && r.Job == nil {
+				delete(w, r.Key)
+			} else {
+				w[r.Key] = r
+			}
+		}
+	}
+}
+
+func (w warmTable) records() []WarmRecord {
+	var out []WarmRecord
+	for _, r := range w {
+		out = append(out, r)
+	}
+	return out
+}
+
+// takenOver is a leader of term 2 that has started j-1/0 on m-1, and has m-2 idle, and the
+// leader after it, which starts from the records and the warm state.
+func takenOver(t *testing.T, jobs []StoredJob, alter func(warmTable)) (next *bench, started fleet.Command) {
+	t.Helper()
+	b := warmBench(t, 2, Snapshot{Jobs: jobs[:1]})
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	s := starts(b.report("m-1", 2))
+	if len(s) != 1 {
+		t.Fatalf("%d starts", len(s))
+	}
+	b.report("m-1", 2, running(s[0]))
+	b.up("m-2")
+	for range 10 {
+		b.pass(2*time.Second, true)
+		b.report("m-1", 2, running(s[0]))
+		b.report("m-2", 2)
+	}
+	state := warmTable{}
+	state.take(b.e, b.now)
+	if alter != nil {
+		alter(state)
+	}
+	snap := Snapshot{Jobs: jobs}
+	for _, p := range b.e.startLog.pages {
+		snap.Pages = append(snap.Pages, StoredPage{Name: p.Name, Version: p.Version, Record: p.Record()})
+	}
+	cfg := config()
+	cfg.WarmState = true
+	next = &bench{t: t, now: b.now.Add(4 * time.Second), seq: b.seq}
+	next.e = New(next.now, cfg, 3, snap, rand.New(rand.NewPCG(1, 1)))
+	next.e.Step(next.now, WarmStart{Records: state.records(), Confirmed: true})
+	next.e.Step(next.now, Catalog{b.e.catalog})
+	return next, s[0]
+}
+
+// With a confirmed view, work is placed before anything has reported, and its start goes with
+// the first answer after the one that gives the machine the new token.
+func TestWarmStartPlacesAtOnce(t *testing.T) {
+	b, _ := takenOver(t, []StoredJob{job("j-1", 1), job("j-2", 2)}, nil)
+	if o := b.e.WarmOutcome(); o.Expected != 2 || o.Differing != 0 {
+		t.Fatalf("%+v", o)
+	}
+	b.pass(400*time.Millisecond, true)
+	if n := b.e.jobs["j-2"].Count(pipeline.Assigned); n != 2 {
+		t.Fatalf("%d tasks placed before a report", n)
+	}
+	began := b.now
+	got := 0
+	for _, m := range []string{"m-1", "m-2"} {
+		if s := starts(b.report(m, 2)); len(s) != 0 {
+			t.Fatalf("%s gets %v with an answer to a report that may be a late copy", m, s)
+		}
+		got += len(starts(b.report(m, 3)))
+	}
+	if got != 2 || b.now.Sub(began) > time.Second {
+		t.Fatalf("%d starts after %s", got, b.now.Sub(began))
+	}
+}
+
+// Whatever the warm state says, an attempt that the start log names is on its machine until
+// proven gone, a machine that it tells otherwise of is waited for, and what only the warm
+// state knows is nowhere.
+func TestWarmStateProvesNothing(t *testing.T) {
+	b, c := takenOver(t, []StoredJob{job("j-1", 1), job("j-2", 40)}, func(state warmTable) {
+		key := WarmKey{Kind: WarmAttemptKind, Name: "j-1"}
+		if state[key].Attempt == nil {
+			t.Fatal("the attempt isn't in the warm state")
+		}
+		delete(state, key) // as if the old leader had known it gone
+		ghost := WarmKey{Kind: WarmAttemptKind, Name: "j-2", Task: 7}
+		state[ghost] = WarmRecord{Key: ghost, Attempt: &WarmAttempt{Ref: "j-2", Task: 7, Number: 2<<attemptBits | 99, Machine: "m-2", RunStartMS: 1}}
+	})
+	if o := b.e.WarmOutcome(); o.Differing != 1 || o.Unknown != 1 || o.Unstored != 1 || o.Expected != 1 {
+		t.Fatalf("%+v", o)
+	}
+	b.pass(2*time.Second, true)
+	if n := b.e.jobs["j-1"].Count(pipeline.Waiting); n != 0 {
+		t.Fatal("the task is placed again on the word of the warm state")
+	}
+	if n := b.e.machines["m-1"].Busy(); n != 1 {
+		t.Fatalf("%d attempts on the machine of which the start log tells otherwise", n)
+	}
+	if n := b.e.machines["m-2"].Busy(); n != 8 {
+		t.Fatalf("%d attempts on the expected machine, which takes 8", n)
+	}
+	b.report("m-1", 2, running(c))
+	b.report("m-1", 3, running(c))
+	if a := b.e.machines["m-1"].Tasks[fleet.Key{Ref: "j-1"}]; a == nil || a.Number != c.Attempt {
+		t.Fatal("the attempt isn't taken up")
+	}
+}
+
+// What was placed on an expected machine that never reports goes elsewhere, and nothing has
+// been started twice: the start hasn't left.
+func TestExpectedMachineNeverReports(t *testing.T) {
+	b, _ := takenOver(t, []StoredJob{job("j-1", 1), job("j-2", 14)}, nil)
+	b.pass(time.Second, true)
+	b.report("m-1", 2)
+	for range 8 {
+		b.pass(2*time.Second, true)
+		b.report("m-1", 3)
+	}
+	if m := b.e.machines["m-2"]; m.Expected || m.Busy() != 0 {
+		t.Fatalf("still expected %v with %d attempts", m.Expected, m.Busy())
+	}
+	if n := b.e.jobs["j-2"].Count(pipeline.Waiting); n == 0 {
+		t.Fatal("the tasks wait for a machine that doesn't report")
+	}
+	if b.e.unheard != 1 {
+		t.Fatalf("%d machines count as unheard", b.e.unheard)
+	}
+}
+
+// What a leader has learnt outlives it: sick machines, run times and arrivals of classes,
+// refused offers, machines that a job avoids, and since when tasks run.
+func TestWarmStateIsTakenOver(t *testing.T) {
+	offer := capacity.Offer{Type: "big", Zone: "a"}
+	b, c := takenOver(t, []StoredJob{job("j-1", 1), job("j-2", 1)}, func(state warmTable) {
+		for key, r := range state {
+			if r.Machine != nil && r.Machine.Name == "m-2" {
+				r.Machine.Sick = true
+			}
+			if r.Class != nil && (r.Class.Spec == nil || r.Class.Name != "c" || r.Class.LastArriveMS == 0) {
+				t.Errorf("%+v: %+v", key, r.Class)
+			}
+			if r.Class != nil {
+				r.Class.Runs, r.Class.Ratio = 12, 1.5
+			}
+		}
+		key := WarmKey{Kind: WarmOfferKind, Name: "big", Zone: "a"}
+		state[key] = WarmRecord{Key: key, Offer: &WarmOffer{Type: "big", Zone: "a", Refusals: 3, UntilMS: time.Unix(5050, 0).UnixMilli()}}
+		avoid := WarmKey{Kind: WarmJobKind, Name: "j-2"}
+		state[avoid] = WarmRecord{Key: avoid, Job: &WarmJob{Ref: "j-2", Avoids: []WarmAvoid{{Machine: "m-1", UntilMS: time.Unix(5060, 0).UnixMilli()}}}}
+	})
+	if m := b.e.machines["m-2"]; m != nil && m.Expected {
+		t.Error("a sick machine is expected")
+	}
+	if c := b.e.class("c"); c.ratio != 1.5 || c.runs != 12 {
+		t.Errorf("class: %+v", c)
+	}
+	if back, refused := b.e.plan.Backoff(offer); !refused || back.Refusals != 3 {
+		t.Errorf("offer: %+v", back)
+	}
+	if !b.e.jobs["j-2"].Avoids(b.now, "m-1") {
+		t.Error("the job doesn't avoid the machine where it failed")
+	}
+	b.report("m-1", 2, running(c))
+	a := b.e.machines["m-1"].Tasks[fleet.Key{Ref: "j-1"}]
+	if ran := b.now.Sub(a.RunStart); ran < 20*time.Second {
+		t.Errorf("the task counts as running since %s ago", ran)
+	}
+}
+
+// The records of the warm state follow every change: replayed one by one, they are what a
+// leader would tell of itself from the beginning.
+func TestWarmChangesAreComplete(t *testing.T) {
+	b := warmBench(t, 2, Snapshot{Jobs: []StoredJob{job("j-1", 6), job("j-2", 3)}})
+	state := warmTable{}
+	rng := rand.New(rand.NewPCG(4, 4))
+	machines := []string{"m-1", "m-2", "m-3"}
+	tasks := map[string][]fleet.TaskReport{}
+	for range 200 {
+		m := machines[rng.IntN(len(machines))]
+		for i := range tasks[m] {
+			if tasks[m][i].State == fleet.Running && rng.IntN(6) == 0 {
+				tasks[m][i].State, tasks[m][i].Cause = fleet.Exited, fleet.CauseError
+			}
+		}
+		for _, c := range b.report(m, 2, tasks[m]...).Commands {
+			switch c.Op {
+			case fleet.Start:
+				tasks[m] = append(tasks[m], running(c))
+			case fleet.Forget:
+				for i := range tasks[m] {
+					if tasks[m][i].Attempt == c.Attempt {
+						tasks[m] = append(tasks[m][:i:i], tasks[m][i+1:]...)
+						break
+					}
+				}
+			}
+		}
+		b.pass(400*time.Millisecond, true)
+		state.take(b.e, b.now)
+		for name := range b.e.machines {
+			got := state[WarmKey{Kind: WarmMachineKind, Name: name}].Machine
+			want := b.e.warmMachine(name)
+			if got == nil || got.Sick != want.Sick || got.Draining != want.Draining || got.Errors != want.Errors || got.Reporting != want.Reporting || len(got.Images) != len(want.Images) {
+				t.Fatalf("%s: replicated %+v, is %+v", name, got, want)
+			}
+		}
+		attempts := 0
+		for key, r := range state {
+			if r.Attempt == nil {
+				continue
+			}
+			attempts++
+			if w := b.e.warmAttempt(fleet.Key{Ref: key.Name, Task: key.Task}); w == nil || *w != *r.Attempt {
+				t.Fatalf("%+v: replicated %+v, is %+v", key, r.Attempt, w)
+			}
+		}
+		busy := 0
+		for _, m := range b.e.machines {
+			busy += m.Busy()
+		}
+		if attempts != busy {
+			t.Fatalf("%d attempts replicated, %d are on machines", attempts, busy)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/warm_state.go
@@ -0,0 +1,281 @@
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"gingertally/internal/core/capacity"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+)
+
+// What a leader knows and the state service doesn't hold: the warm state. It is replicated
+// to the standbys as a table of small records that follows every change, so that the next
+// leader needn't learn it anew. It only saves time: no record of it proves anything gone or
+// stored (docs/design.md, "Warm standby").
+
+// WarmKind is what a record of the warm state is about.
+type WarmKind uint8
+
+// Kinds of records.
+const (
+	WarmMachineKind WarmKind = iota + 1
+	WarmAttemptKind
+	WarmClassKind
+	WarmOfferKind
+	WarmJobKind
+)
+
+// WarmKey names a record of the warm state.
+type WarmKey struct {
+	Kind WarmKind
+	Name string // of the machine, class or job; of an attempt or offer: see their fields
+	Task int    // of an attempt
+	Spot bool   // of an offer, with type and zone in Name and Zone
+	Zone string
+}
+
+// compareWarmKeys orders keys, so that equal states give equal streams.
+func compareWarmKeys(a, b WarmKey) int {
+	spot := 0
+	if a.Spot != b.Spot {
+		spot = 1
+		if b.Spot {
+			spot = -1
+		}
+	}
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Task, b.Task),
+		cmp.Compare(a.Zone, b.Zone), spot)
+}
+
+// WarmMachine is a machine as the leader last knew it.
+type WarmMachine struct {
+	Name          string      `cbor:"n"`
+	Addr          string      `cbor:"a,omitempty"`
+	Type          string      `cbor:"t"`
+	Zone          string      `cbor:"z"`
+	Spot          bool        `cbor:"p,omitempty"`
+	Reporting     bool        `cbor:"r,omitempty"` // live, and its answers arrive
+	Booting       bool        `cbor:"b,omitempty"`
+	Sick          bool        `cbor:"s,omitempty"`
+	Draining      bool        `cbor:"d,omitempty"`
+	ListedRunning bool        `cbor:"l,omitempty"`
+	Errors        int         `cbor:"e,omitempty"`
+	ErrorJobs     []string    `cbor:"j,omitempty"`
+	FirstSeenMS   int64       `cbor:"f,omitempty"`
+	IdleSinceMS   int64       `cbor:"i,omitempty"`
+	Images        []WarmImage `cbor:"g,omitempty"`
+}
+
+// WarmImage is an image that a machine is believed to have.
+type WarmImage struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	GB      float64
+	ReadyMS int64
+}
+
+// WarmAttempt is an attempt that is, or may be, on a machine.
+type WarmAttempt struct {
+	Ref        string `cbor:"j"`
+	Task       int    `cbor:"t,omitempty"`
+	Number     uint64 `cbor:"n"`
+	Machine    string `cbor:"m"`
+	RunStartMS int64  `cbor:"r,omitempty"` // 0: isn't known to have run
+}
+
+// WarmClass is what the leader has learnt of a class of jobs.
+type WarmClass struct {
+	Name         string         `cbor:"n"`
+	Runs         int            `cbor:"r,omitempty"`
+	Ratio        float64        `cbor:"q"`
+	Rate         float64        `cbor:"v,omitempty"`
+	LastArriveMS int64          `cbor:"l,omitempty"`
+	Spec         *pipeline.Spec `cbor:"s,omitempty"`
+}
+
+// WarmOffer is an offer that the cloud has refused of late.
+type WarmOffer struct {
+	Type     string `cbor:"t"`
+	Zone     string `cbor:"z"`
+	Spot     bool   `cbor:"p,omitempty"`
+	UntilMS  int64  `cbor:"u"`
+	Refusals int    `cbor:"r"`
+}
+
+// WarmJob is on which machines a job has failed, and until when it avoids them.
+type WarmJob struct {
+	Ref    string      `cbor:"j"`
+	Avoids []WarmAvoid `cbor:"a"` // by machine
+}
+
+// WarmAvoid is until when a job avoids a machine.
+type WarmAvoid struct {
+	_       struct{} `cbor:",toarray"`
+	Machine string
+	UntilMS int64
+}
+
+// WarmRecord is a record of the warm state. Exactly one of the pointers is set; none: there
+// is no such record any more.
+type WarmRecord struct {
+	Key     WarmKey
+	Machine *WarmMachine
+	Attempt *WarmAttempt
+	Class   *WarmClass
+	Offer   *WarmOffer
+	Job     *WarmJob
+}
+
+// warmFeed notes which records of the warm state have changed since they were last asked
+// for. A nil feed notes nothing.
+type warmFeed struct{ changed map[WarmKey]bool }
+
+func newWarmFeed() *warmFeed { return &warmFeed{changed: map[WarmKey]bool{}} }
+
+func (f *warmFeed) note(key WarmKey) {
+	if f != nil {
+		f.changed[key] = true
+	}
+}
+
+func (f *warmFeed) noteMachine(name string) { f.note(WarmKey{Kind: WarmMachineKind, Name: name}) }
+
+func (f *warmFeed) noteAttempt(a *fleet.Attempt) {
+	f.note(WarmKey{Kind: WarmAttemptKind, Name: a.Ref, Task: a.Task})
+}
+
+func (f *warmFeed) noteClass(name string) { f.note(WarmKey{Kind: WarmClassKind, Name: name}) }
+
+func (f *warmFeed) noteOffer(o capacity.Offer) {
+	f.note(WarmKey{Kind: WarmOfferKind, Name: o.Type, Zone: o.Zone, Spot: o.Spot})
+}
+
+func (f *warmFeed) noteJob(ref string) { f.note(WarmKey{Kind: WarmJobKind, Name: ref}) }
+
+// take returns the keys of what has changed, in a fixed order, at most so many; the rest is
+// left for the next time.
+func (f *warmFeed) take(limit int) []WarmKey {
+	keys := make([]WarmKey, 0, len(f.changed))
+	for key := range f.changed {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareWarmKeys)
+	keys = keys[:min(limit, len(keys))]
+	for _, key := range keys {
+		delete(f.changed, key)
+	}
+	return keys
+}
+
+// WarmChanges returns the records of the warm state that have changed since the last call,
+// at most so many at a time. It returns none unless Config.WarmState is set.
+func (e *Engine) WarmChanges(now time.Time, limit int) []WarmRecord {
+	if e.warm == nil || len(e.warm.changed) == 0 {
+		return nil
+	}
+	keys := e.warm.take(limit)
+	records := make([]WarmRecord, 0, len(keys))
+	for _, key := range keys {
+		records = append(records, e.warmRecord(now, key))
+	}
+	return records
+}
+
+// warmRecord is a record as it is now.
+func (e *Engine) warmRecord(now time.Time, key WarmKey) WarmRecord {
+	record := WarmRecord{Key: key}
+	switch key.Kind {
+	case WarmMachineKind:
+		record.Machine = e.warmMachine(key.Name)
+	case WarmAttemptKind:
+		record.Attempt = e.warmAttempt(fleet.Key{Ref: key.Name, Task: key.Task})
+	case WarmClassKind:
+		record.Class = e.warmClass(key.Name)
+	case WarmOfferKind:
+		record.Offer = e.warmOffer(now, capacity.Offer{Type: key.Name, Zone: key.Zone, Spot: key.Spot})
+	case WarmJobKind:
+		record.Job = e.warmJob(now, key.Name)
+	}
+	return record
+}
+
+func (e *Engine) warmMachine(name string) *WarmMachine {
+	m := e.machines[name]
+	if m == nil {
+		return nil
+	}
+	w := &WarmMachine{
+		Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+		Reporting: m.State() == fleet.Live && !e.unreachable[m], Booting: m.State() == fleet.Booting,
+		Sick: m.Sick, Draining: m.Draining, ListedRunning: m.ListedRunning, Errors: m.Errors,
+		FirstSeenMS: m.FirstSeen.UnixMilli(), IdleSinceMS: m.IdleSince.UnixMilli(),
+	}
+	for ref := range m.ErrorJobs {
+		w.ErrorJobs = append(w.ErrorJobs, ref)
+	}
+	slices.Sort(w.ErrorJobs)
+	for _, image := range m.Images {
+		w.Images = append(w.Images, WarmImage{Name: image.Name, GB: image.GB, ReadyMS: image.Ready.UnixMilli()})
+	}
+	return w
+}
+
+func (e *Engine) warmAttempt(task fleet.Key) *WarmAttempt {
+	j := e.jobs[task.Ref]
+	if j == nil || task.Task >= len(j.Tasks) {
+		return nil
+	}
+	m := e.machines[j.Tasks[task.Task].Machine]
+	if m == nil {
+		return nil
+	}
+	a := m.Tasks[task]
+	if a == nil || a.State() == fleet.Exited || a.Foreign {
+		return nil
+	}
+	w := &WarmAttempt{Ref: a.Ref, Task: a.Task, Number: a.Number, Machine: m.Name}
+	if !a.RunStart.IsZero() {
+		w.RunStartMS = a.RunStart.UnixMilli()
+	}
+	return w
+}
+
+func (e *Engine) warmClass(name string) *WarmClass {
+	c := e.classes[name]
+	if c == nil {
+		return nil
+	}
+	w := &WarmClass{Name: name, Runs: c.runs, Ratio: c.ratio, Rate: c.rate, Spec: c.spec}
+	if !c.lastAt.IsZero() {
+		w.LastArriveMS = c.lastAt.UnixMilli()
+	}
+	return w
+}
+
+func (e *Engine) warmOffer(now time.Time, o capacity.Offer) *WarmOffer {
+	b, refused := e.plan.Backoff(o)
+	if !refused || !b.Until.After(now) {
+		return nil
+	}
+	return &WarmOffer{Type: o.Type, Zone: o.Zone, Spot: o.Spot, UntilMS: b.Until.UnixMilli(), Refusals: b.Refusals}
+}
+
+func (e *Engine) warmJob(now time.Time, ref string) *WarmJob {
+	j := e.jobs[ref]
+	if j == nil || len(j.AvoidUntil) == 0 {
+		return nil
+	}
+	w := &WarmJob{Ref: ref}
+	for _, machine := range slices.Sorted(maps.Keys(j.AvoidUntil)) {
+		if until := j.AvoidUntil[machine]; until.After(now) {
+			w.Avoids = append(w.Avoids, WarmAvoid{Machine: machine, UntilMS: until.UnixMilli()})
+		}
+	}
+	if len(w.Avoids) == 0 {
+		return nil
+	}
+	return w
+}
--- a/internal/simulation/election.go
+++ b/internal/simulation/election.go
@@ -21,7 +21,7 @@
 		return
 	}
 	n.claimTried = true
-	if n.mayClaim() {
+	if n.mayClaim() && n.mayClaimNow() {
 		n.claim()
 	}
 }
@@ -42,7 +42,7 @@
 		switch {
 		case n.eng == nil || n.lease != lease:
 		case over:
-			n.eng = nil
+			n.endTerm()
 		case renewed:
 			n.prove(sent)
 		}
@@ -121,12 +121,13 @@
 }
 
 func (n *node) elected(t leadership.Term, lease int, sent time.Time) {
-	snap, _, err := n.jobs.Snapshot(bg)
+	snap, revision, err := n.jobs.Snapshot(bg)
 	if err != nil {
 		return
 	}
 	n.term, n.lease, n.writing, n.leaseUntil, n.extensions = t, lease, false, time.Time{}, map[*node]time.Time{}
 	n.eng = core.New(n.local(), n.coreConfig(), t.N, snap, rand.New(rand.NewPCG(t.N, n.w.o.Seed)))
+	n.warmStart(t, revision)
 	n.prove(sent)
 	n.step(core.Catalog{Types: n.w.catalog})
 }
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -11,6 +11,7 @@
 	"gingertally/internal/health"
 	"gingertally/internal/jobstore"
 	"gingertally/internal/leadership"
+	"gingertally/internal/standby"
 	"gingertally/internal/statestore"
 	"gingertally/internal/wire"
 )
@@ -45,6 +46,11 @@
 	extensions   map[*node]time.Time // of its lease, granted by each peer, by its clock
 	grantedUntil time.Time           // end of the last extension that it granted to a leader
 	booted       time.Time
+
+	// Warm standby; all nil where it is off.
+	standby     *standby.Standby
+	publisher   *standby.Publisher // of the term that the node leads in
+	vacantSince time.Time          // since when nobody leads, as far as it knows
 }
 
 var bg = context.Background()
@@ -69,6 +75,7 @@
 	n.down, n.eng, n.writing, n.leaseUntil = false, nil, false, time.Time{}
 	n.claiming, n.grantedUntil, n.booted, n.extensions = 0, time.Time{}, n.local(), map[*node]time.Time{}
 	n.health = health.New(n.local())
+	n.bootStandby()
 	limits := n.limits()
 	limits.NotCancelledFor = n.w.o.Cancel / sureParts
 	n.jobs = jobstore.New(n.storeView(), limits)
@@ -130,7 +137,7 @@
 func (n *node) stalled() bool { return n.w.now.Before(n.stalledUntil) }
 
 func (n *node) crash(back time.Duration) {
-	n.down, n.eng, n.stalledUntil, n.busyUntil = true, nil, time.Time{}, time.Time{}
+	n.down, n.eng, n.publisher, n.stalledUntil, n.busyUntil = true, nil, nil, time.Time{}, time.Time{}
 	n.life++
 	n.w.after(back, n.boot)
 }
@@ -189,7 +196,7 @@
 		}
 	}
 	if eff.Deposed || eff.Resign != "" {
-		n.eng = nil
+		n.endTerm()
 		return core.Effects{}
 	}
 	for _, d := range eff.Direct {
@@ -210,6 +217,7 @@
 	}
 	n.step(core.Tick{})
 	n.write()
+	n.replicate()
 }
 
 // write sends the next batch, one at a time.
@@ -252,7 +260,7 @@
 		n.step(core.Written{Batch: rest})
 	}
 	if errors.Is(err, jobstore.ErrDeposed) {
-		n.eng = nil
+		n.endTerm()
 		return
 	}
 	if err == nil {
--- a/internal/simulation/random_test.go
+++ b/internal/simulation/random_test.go
@@ -108,6 +108,7 @@
 	if os.Getenv("SIMULATION_SHORT_LEASE") != "" {
 		o = shortLeases(seed)
 	}
+	o.Standby = os.Getenv("SIMULATION_STANDBY") != ""
 	w := NewWorld(o)
 	w.Trace = func(at time.Duration, node, text string, args []any) {
 		t.Log(at.Seconds(), node, text, args)
@@ -135,6 +136,7 @@
 			if os.Getenv("SIMULATION_SHORT_LEASE") != "" {
 				o = shortLeases(10_000 + seed)
 			}
+			o.Standby = os.Getenv("SIMULATION_STANDBY") != ""
 			if err := NewWorld(o).Run(); err != nil {
 				t.Error(err)
 			}
--- /dev/null
+++ b/internal/simulation/standby.go
@@ -0,0 +1,227 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/leadership"
+	"gingertally/internal/standby"
+)
+
+// standbyNetwork carries the stream of the warm state between the nodes of a world, and
+// keeps count of what it did. It draws random numbers of its own, so that worlds without it
+// stay what they are. A nil one carries nothing.
+type standbyNetwork struct {
+	w       *World
+	rng     *rand.Rand
+	notes   map[string]int
+	lost    float64 // share of frames lost
+	doubled float64 // share of frames that come twice
+	slow    time.Duration
+	streams map[*node]map[*node]*stream // by leader and follower
+}
+
+// stream is one connection from a leader to a follower.
+type stream struct {
+	eng      *core.Engine // the leader's
+	life     int          // of the follower
+	lagUntil time.Time    // the follower's disk or network is slow until then
+}
+
+// Bounds of the stream in simulated worlds: small ones, so that they are met.
+const (
+	simulatedQueueBound   = 60
+	simulatedHeartbeat    = 500 * time.Millisecond
+	simulatedSnapshotPace = 2 * time.Second
+	warmChangesAtOnce     = 500
+)
+
+func newStandbyNetwork(w *World) *standbyNetwork {
+	s := &standbyNetwork{w: w, rng: rand.New(rand.NewPCG(w.o.Seed, 23)), notes: map[string]int{}, streams: map[*node]map[*node]*stream{}}
+	if w.o.Faults {
+		s.lost, s.doubled, s.slow = 0.02, 0.05, 300*time.Millisecond
+	}
+	return s
+}
+
+func (s *standbyNetwork) note(what string, n int) { s.notes[what] += n }
+
+func (s *standbyNetwork) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(s.rng.Int64N(int64(hi-lo)+1))
+}
+
+// standbyTimeouts are a node's margins, derived as the daemon derives them.
+func (w *World) standbyTimeouts() standby.Timeouts {
+	return standby.TimeoutsFor(w.o.Report, simulatedSnapshotPace)
+}
+
+// standbyOn tells whether a node takes part: the version in production doesn't.
+func (n *node) standbyOn() bool { return n.w.standbys != nil && !n.old }
+
+// bootStandby gives a process that has just started an empty copy.
+func (n *node) bootStandby() {
+	n.standby, n.publisher, n.vacantSince = nil, nil, time.Time{}
+	if n.standbyOn() {
+		n.standby = standby.New(n.name, n.w.standbyTimeouts())
+	}
+}
+
+// mayClaimNow tells whether the node lets no other claim first any more. It learns that the
+// place is vacant as it tries to claim it.
+func (n *node) mayClaimNow() bool {
+	if n.standby == nil {
+		return true
+	}
+	if n.w.lease.held(n.w.now) {
+		n.vacantSince = time.Time{}
+		return true // the state service refuses the claim
+	}
+	if n.vacantSince.IsZero() {
+		n.vacantSince = n.local()
+	}
+	delay := n.standby.ClaimDelay(n.local())
+	if n.local().Sub(n.vacantSince) < delay {
+		n.w.standbys.note("claims put off", 1)
+		return false
+	}
+	return true
+}
+
+// warmStart begins a term from the copy, if it is confirmed by what the state service held.
+func (n *node) warmStart(t leadership.Term, revision uint64) {
+	if n.standby == nil {
+		return
+	}
+	s := n.w.standbys
+	n.standby.Claimed(standby.Claim{Term: t.N, Revision: t.Stamp})
+	view, err := n.standby.Confirm(n.local(), revision)
+	n.publisher = standby.NewPublisher(t.N, standby.Options{
+		QueueBound: simulatedQueueBound, SnapshotInterval: simulatedSnapshotPace, Heartbeat: simulatedHeartbeat,
+	})
+	if err != nil {
+		s.note("cold takeovers: "+err.Error(), 1)
+		return
+	}
+	records, err := standby.Decode(view.Entries)
+	if err != nil {
+		n.w.check.fail("%s can't read its copy: %v", n.name, err)
+		return
+	}
+	n.step(core.WarmStart{Records: records, Confirmed: view.Recent})
+	s.note("warm takeovers", 1)
+	outcome := n.eng.WarmOutcome()
+	s.note("machines expected", outcome.Expected)
+	s.note("machines differing", outcome.Differing)
+	s.note("attempts unstored", outcome.Unstored)
+}
+
+// endTerm ends the node's term.
+func (n *node) endTerm() {
+	n.eng, n.publisher = nil, nil
+	if n.standby != nil {
+		n.standby.TermEnded()
+	}
+}
+
+// replicate sends the changes of the leader's warm state on their way.
+func (n *node) replicate() {
+	if n.publisher == nil || n.eng == nil {
+		return
+	}
+	n.publisher.Publish(standby.Encode(n.eng.WarmChanges(n.local(), warmChangesAtOnce)))
+	s := n.w.standbys
+	for _, o := range n.w.nodes {
+		if o == n || o.standby == nil {
+			continue
+		}
+		if !n.reaches(o) {
+			if s.streams[n][o] != nil {
+				delete(s.streams[n], o)
+				n.publisher.Leave(o.name)
+			}
+			continue
+		}
+		n.sendFrames(s.connect(n, o), o)
+	}
+}
+
+// connect returns the stream between a leader and a follower, a new one where either has
+// started anew.
+func (s *standbyNetwork) connect(leader, follower *node) *stream {
+	c := s.streams[leader][follower]
+	if c != nil && c.eng == leader.eng && c.life == follower.life {
+		return c
+	}
+	c = &stream{eng: leader.eng, life: follower.life}
+	if s.streams[leader] == nil {
+		s.streams[leader] = map[*node]*stream{}
+	}
+	s.streams[leader][follower] = c
+	leader.publisher.Follow(follower.name, follower.standby.Position())
+	return c
+}
+
+// sendFrames sends what a follower lacks. One whose disk or network is slow gets nothing for
+// a while, so that the leader's bound is met.
+func (n *node) sendFrames(c *stream, o *node) {
+	s, w := n.w.standbys, n.w
+	if w.now.Before(c.lagUntil) {
+		return
+	}
+	if w.o.Faults && !w.noNet && s.rng.IntN(60) == 0 {
+		c.lagUntil = w.now.Add(s.between(time.Second, 15*time.Second))
+		s.note("slow followers", 1)
+	}
+	for f, ok := n.publisher.Next(n.local(), o.name); ok; f, ok = n.publisher.Next(n.local(), o.name) {
+		s.note("frames", 1)
+		if !w.noNet && s.rng.Float64() < s.lost {
+			continue
+		}
+		s.deliver(n, o, f)
+		if !w.noNet && s.rng.Float64() < s.doubled {
+			s.deliver(n, o, f)
+		}
+	}
+}
+
+// deliver brings a frame to a follower, and its answer back.
+func (s *standbyNetwork) deliver(leader, follower *node, f standby.Frame) {
+	w, eng, leaderLife, life := s.w, leader.eng, leader.life, follower.life
+	w.after(s.between(time.Millisecond, 20*time.Millisecond+s.slow), func() {
+		follower.run(life, func() {
+			verdict := follower.standby.Receive(follower.local(), f)
+			s.note("frames "+verdict.String(), 1)
+			resync := verdict.Lost() && follower.standby.MayResync(follower.local())
+			at := follower.standby.Position()
+			w.after(s.between(time.Millisecond, 20*time.Millisecond), func() {
+				leader.run(leaderLife, func() {
+					if leader.eng != eng || leader.publisher == nil {
+						return
+					}
+					leader.publisher.Acknowledge(follower.name, at)
+					if resync {
+						leader.publisher.Follow(follower.name, at)
+					}
+				})
+			})
+		})
+	})
+}
+
+// nameSuccessor has a leader that is about to end tell its followers who is to go on.
+func (n *node) nameSuccessor() {
+	if n.publisher == nil {
+		return
+	}
+	var names []string
+	for _, o := range n.w.nodes {
+		if o != n && o.standby != nil && n.reaches(o) {
+			names = append(names, o.name)
+		}
+	}
+	if n.publisher.HandOver(names) != "" {
+		n.w.standbys.note("successors named", 1)
+	}
+	n.replicate()
+}
--- a/internal/simulation/troubles.go
+++ b/internal/simulation/troubles.go
@@ -85,6 +85,7 @@
 	if !s.w.store.down && !n.refused && !n.cutOff() && s.w.lease.id == n.lease {
 		s.w.lease.until = s.w.now
 	}
+	n.nameSuccessor()
 	s.note("handed over")
 	s.crash(n, back)
 }
