Warm standby in the daemon: stream, takeover, hand-over, decision log, status; failover tool

Change: the leader streams its warm state to the other controllers over gRPC, which a version without it answers with Unimplemented and is left alone. A new leader confirms its copy against the records and starts from it; a standby that lacks changes lets others claim first for 0.4 s. On SIGTERM a leader names the most current standby, waits until that has all changes, gives its lease up and sends workers there. An optional decision log keeps the copy on disk. Off unless the operators' settings switch it on (deploy/standby.txtpb).

--- a/cmd/gingertally/status.go
+++ b/cmd/gingertally/status.go
@@ -16,6 +16,7 @@
 
 	"gingertally/internal/core"
 	"gingertally/internal/daemon"
+	"gingertally/internal/standby"
 )
 
 type statusCmd struct {
@@ -79,6 +80,29 @@
 	for _, name := range slices.Sorted(maps.Keys(status.Versions)) {
 		fmt.Fprintf(text, "version\t%s %s\n", name, status.Versions[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(status.Standbys)) {
+		fmt.Fprintf(text, "standby\t%s %s\n", name, standbyText(status.Standbys[name]))
+	}
+}
+
+// standbyText tells of a controller's part in the warm standby.
+func standbyText(s *daemon.StandbyStatus) string {
+	text := fmt.Sprintf("%s, term %d, change %d", s.State, s.Term, s.Sequence)
+	if s.Followers == nil {
+		text += fmt.Sprintf(", lacks %d, heard %s ago, %d snapshots, dropped %d times", s.LagChanges,
+			s.LagTime.Round(time.Millisecond), s.Snapshots, s.Gaps+s.Mismatches)
+	}
+	for _, follower := range slices.Sorted(maps.Keys(s.Followers)) {
+		text += fmt.Sprintf(", %s lacks %d", follower, s.Followers[follower])
+	}
+	if s.Log != "off" {
+		text += ", decision log " + s.Log
+	}
+	if t := s.LastTakeover; t != nil {
+		text += fmt.Sprintf(", last takeover: term %d, warm %v, first start after %s", t.Term, t.Warm,
+			t.Phases[standby.FirstStart.String()].Round(time.Millisecond))
+	}
+	return text
 }
 
 // writePools tells of the machines by pool.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"gingertally/internal/agentapi"
 	"gingertally/internal/cloud"
@@ -23,6 +24,7 @@
 	"gingertally/internal/leadership"
 	"gingertally/internal/operator"
 	"gingertally/internal/peer"
+	"gingertally/internal/standbyrpc"
 	"gingertally/internal/statestore"
 	"gingertally/internal/userapi"
 )
@@ -46,6 +48,7 @@
 	health     *health.Tracker
 	metrics    *metrics
 	forwarder  forwarder
+	warm       *standbyNode // nil: warm standby is off
 	started    time.Time
 }
 
@@ -70,17 +73,28 @@
 	if err := d.connectPeers(); err != nil {
 		return nil, err
 	}
+	d.warm = newStandbyNode(settings.Member, operatorSettings.Standby, d.coreConfig.ReportEvery, d.metrics.standby)
+	d.coreConfig.WarmState = d.warm != nil
 	state := settings.Params.State.Lowest()
 	// Claims wait for nobody's part of the rates.
 	d.elector = leadership.New(d.store.Part(state.RPS, state.WriteRPS), leadership.Options{
 		Member: settings.Member, Others: d.peersFirstOf(""), TTL: leaseTTL,
-		Hooks: leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Unreached: d.unreached, RequestExtension: d.requestExtension},
+		Hooks: d.electionHooks(),
 	})
 	d.users = &userapi.Service{Jobs: d.jobs, Leader: d, Catalog: d.types, Teams: d.coreConfig.Teams}
 	d.agents = &agentapi.Service{Self: settings.Member, Leader: agentLeader{d}}
 	return d, nil
 }
 
+// electionHooks are what this node does as the leader changes.
+func (d *Daemon) electionHooks() leadership.Hooks {
+	hooks := leadership.Hooks{Elected: d.elected, Resumed: d.resumed, Unreached: d.unreached, RequestExtension: d.requestExtension}
+	if d.warm != nil {
+		hooks.ClaimDelay, hooks.Vacant = d.warm.claimDelay, d.warm.vacant
+	}
+	return hooks
+}
+
 // roundBudget is how many tasks one round of decisions looks at.
 const roundBudget = 2000
 
@@ -189,11 +203,40 @@
 			"bound", d.coreConfig.CancelBound(), "cancel", d.coreConfig.CancelWithin)
 	}
 	slog.Info("serving", "version", Version, "member", d.settings.Member, "clients", d.settings.ClientListen, "peers", d.settings.PeerListen)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return d.serveHTTP(ctx, clients) })
-	group.Go(func() error { return peer.Serve(ctx, peers, d.servePeer) })
-	group.Go(func() error { return d.elector.Run(ctx) })
-	group.Go(func() error { return d.keepCatalog(ctx) })
-	group.Go(func() error { return d.keepContact(ctx) })
+	return d.serve(ctx, clients, peers)
+}
+
+// serve runs the parts of the process until ctx ends, and then hands over if it leads.
+func (d *Daemon) serve(ctx context.Context, clients, peers net.Listener) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return d.serveHTTP(running, clients) })
+	group.Go(func() error { return peer.Serve(running, peers, d.servePeer, d.registerStandby) })
+	group.Go(func() error { return d.elector.Run(running) })
+	group.Go(func() error { return d.keepCatalog(running) })
+	group.Go(func() error { return d.keepContact(running) })
+	if d.warm != nil {
+		group.Go(func() error { return d.followLeader(running) })
+		if d.warm.log != nil {
+			group.Go(func() error { return d.warm.log.run(running) })
+		}
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.handOver()
+			return ctx.Err()
+		case <-running.Done():
+			return running.Err()
+		}
+	})
 	return group.Wait()
 }
+
+// registerStandby adds the stream of the warm state to what is served to the other nodes.
+func (d *Daemon) registerStandby(registrar grpc.ServiceRegistrar) {
+	if d.warm != nil {
+		standbyrpc.Register(registrar, d.warm)
+	}
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -24,6 +24,7 @@
 	store    *prometheus.CounterVec
 	leading  prometheus.Gauge
 	term     prometheus.Gauge
+	standby  *standbyMetrics
 }
 
 // Buckets from 1 ms to 8 s; a user waits 5 s at the most.
@@ -51,6 +52,7 @@
 		m.commands[op] = commands.WithLabelValues(name)
 	}
 	registry.MustRegister(m.reports, m.calls, m.callTime, m.round, m.store, m.leading, m.term, commands)
+	m.standby = newStandbyMetrics(registry)
 	m.handler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return m
 }
--- a/internal/daemon/session.go
+++ b/internal/daemon/session.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -25,18 +27,22 @@
 	mu     sync.Mutex
 	engine *core.Engine
 
+	startedAny atomic.Bool // a start was given in this term
+
 	contactMu   sync.Mutex
 	lastContact time.Time // when a report last arrived, or the lease last became valid again
 }
 
 // elected starts a leader's session; it ends with ctx.
 func (d *Daemon) elected(ctx context.Context, term leadership.Term) {
+	d.warm.claimed(term)
 	go func() {
 		s := &leaderSession{daemon: d, ctx: ctx, term: term, wake: make(chan struct{}, 1)}
 		d.metrics.leading.Set(1)
 		d.metrics.term.Set(float64(term.N))
 		err := s.run()
 		d.session.CompareAndSwap(s, nil)
+		d.warm.termEnded(term.N)
 		d.metrics.leading.Set(0)
 		slog.Info("leader session over", "term", term.N, "reason", err)
 	}()
@@ -95,11 +101,9 @@
 	for {
 		snapshot, ledger, err := s.daemon.records.Snapshot(s.ctx)
 		if err == nil {
-			s.ledger = ledger
-			slog.Info("takeover", "term", s.term.N, "jobs", len(snapshot.Jobs), "pages", len(snapshot.Pages))
-			// All earlier leases ended before the claim, so before now
-			// (docs/design.md, "Safety arguments" 1; TestOneLeader).
-			s.engine = core.New(time.Now(), s.daemon.coreConfig, s.term.N, snapshot, newRand())
+			err = s.begin(snapshot, ledger)
+		}
+		if err == nil {
 			return nil
 		}
 		slog.Warn("read records", "error", err)
@@ -109,6 +113,28 @@
 	}
 }
 
+// errReadAgain says that the records were read as of a moment before the claim.
+var errReadAgain = errors.New("records older than the claim")
+
+// begin builds the engine from the records, and from the copy of the last leader's warm
+// state if there is one that can be trusted.
+func (s *leaderSession) begin(snapshot core.Snapshot, ledger uint64) error {
+	warm, ok := s.daemon.warm.confirm(s.term, ledger)
+	if !ok {
+		return errReadAgain
+	}
+	s.ledger = ledger
+	slog.Info("takeover", "term", s.term.N, "jobs", len(snapshot.Jobs), "pages", len(snapshot.Pages))
+	// All earlier leases ended before the claim, so before now
+	// (docs/design.md, "Safety arguments" 1; TestOneLeader).
+	now := time.Now()
+	s.engine = core.New(now, s.daemon.coreConfig, s.term.N, snapshot, newRand())
+	if warm != nil {
+		logNotes(s.engine.Step(now, *warm).Notes)
+	}
+	return nil
+}
+
 // newRand is a generator with a seed of its own.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
@@ -199,10 +225,24 @@
 			continue
 		}
 		s.decide()
+		s.replicate()
 	}
 	return s.ctx.Err()
 }
 
+// replicate streams what has changed of the engine's warm state.
+func (s *leaderSession) replicate() {
+	if s.daemon.warm == nil {
+		return
+	}
+	s.mu.Lock()
+	records := s.engine.WarmChanges(time.Now(), warmChangesAtOnce)
+	s.mu.Unlock()
+	if len(records) > 0 {
+		s.daemon.warm.publish(s.term.N, records)
+	}
+}
+
 // expectsReports tells whether any machine is believed to report.
 func (s *leaderSession) expectsReports() bool {
 	s.mu.Lock()
--- a/internal/daemon/session_reports.go
+++ b/internal/daemon/session_reports.go
@@ -7,6 +7,7 @@
 
 	"gingertally/internal/core"
 	"gingertally/internal/core/fleet"
+	"gingertally/internal/standby"
 )
 
 // holdReply is for how long at a time the answer to a report of a machine with
@@ -35,9 +36,25 @@
 		return core.Reply{}, false
 	}
 	s.daemon.metrics.countCommands(effects.Reply.Commands)
+	s.noteAnswer(effects.Reply)
 	return *effects.Reply, true
 }
 
+// noteAnswer notes the first answer and the first start of a term, which end its takeover.
+func (s *leaderSession) noteAnswer(reply *core.Reply) {
+	if s.daemon.warm == nil || !reply.OK || s.startedAny.Load() {
+		return
+	}
+	s.daemon.warm.reach(standby.FirstAnswer)
+	for _, command := range reply.Commands {
+		if command.Op == fleet.Start {
+			s.startedAny.Store(true)
+			s.daemon.warm.reach(standby.FirstStart)
+			return
+		}
+	}
+}
+
 // agentLeader is the leading node as the workers' service sees it.
 type agentLeader struct{ daemon *Daemon }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -25,12 +25,15 @@
 // Status is what an operator is shown. All teams and machines are the leader's
 // share.
 type Status struct {
-	Node    string       `json:"node"`             // the node that tells
-	Version string       `json:"version"`          // its version
-	Role    string       `json:"role"`             // its part in leadership
-	Leader  string       `json:"leader,omitempty"` // as far as that node knows
-	Serves  bool         `json:"serves_users"`
-	Leading *core.Status `json:"leading,omitempty"` // what it knows as the leader, while its lease is valid
+	Node    string         `json:"node"`             // the node that tells
+	Version string         `json:"version"`          // its version
+	Role    string         `json:"role"`             // its part in leadership
+	Leader  string         `json:"leader,omitempty"` // as far as that node knows
+	Serves  bool           `json:"serves_users"`
+	Leading *core.Status   `json:"leading,omitempty"` // what it knows as the leader, while its lease is valid
+	Standby *StandbyStatus `json:"standby,omitempty"` // this node's part in the warm standby
+	// Standbys are those of all controllers that could be asked.
+	Standbys map[string]*StandbyStatus `json:"standbys,omitempty"`
 	// Versions of all controllers, as far as the node that was asked could find out.
 	Versions map[string]string `json:"versions,omitempty"`
 }
@@ -42,7 +45,7 @@
 func (d *Daemon) status(now time.Time) Status {
 	status := Status{
 		Node: d.settings.Member, Version: Version, Role: d.elector.Role().String(), Leader: d.elector.Leader(),
-		Serves: d.healthStatus() == http.StatusOK,
+		Serves: d.healthStatus() == http.StatusOK, Standby: d.warm.status(now),
 	}
 	if s := d.session.Load(); s != nil && s.holdsLease() {
 		s.mu.Lock()
@@ -60,6 +63,10 @@
 	names := d.peersFirst()
 	shown := own
 	versions := map[string]string{own.Node: own.Version}
+	standbys := map[string]*StandbyStatus{}
+	if own.Standby != nil {
+		standbys[own.Node] = own.Standby
+	}
 	for i, status := range d.peersStatus(ctx, names) {
 		switch {
 		case status == nil:
@@ -70,11 +77,14 @@
 		default:
 			versions[names[i]] = status.Version
 		}
+		if status.Standby != nil {
+			standbys[names[i]] = status.Standby
+		}
 		if own.Leading == nil && status.Leading != nil {
 			shown = *status
 		}
 	}
-	shown.Versions = versions
+	shown.Versions, shown.Standbys = versions, standbys
 	return shown.encode()
 }
 
--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,210 @@
+package decisionlog
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gingertally/internal/standby"
+)
+
+const testBytes = 40_000
+
+// writer is a leader whose changes a log takes.
+type writer struct {
+	t         *testing.T
+	rng       *rand.Rand
+	publisher *standby.Publisher
+	log       *Log
+	now       time.Time
+}
+
+func newWriter(t *testing.T, directory string, seed uint64) (*writer, Recovered) {
+	t.Helper()
+	log, recovered, err := Open(directory, testBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &writer{t: t, rng: rand.New(rand.NewPCG(seed, 5)), log: log, now: time.Unix(5000, 0),
+		publisher: standby.NewPublisher(7, standby.Options{QueueBound: 500, SnapshotInterval: time.Second, Heartbeat: time.Hour})}
+	w.publisher.Follow("log", standby.Position{})
+	return w, recovered
+}
+
+// change makes changes and has the log take them, and returns the first error.
+func (w *writer) change(n int) error {
+	for range n {
+		e := standby.Entry{Key: fmt.Sprint("k", w.rng.IntN(40))}
+		if w.rng.IntN(5) > 0 {
+			e.Value = fmt.Appendf(nil, "%0100d", w.rng.IntN(1000))
+		}
+		w.publisher.Publish([]standby.Entry{e})
+		for f, ok := w.publisher.Next(w.now, "log"); ok; f, ok = w.publisher.Next(w.now, "log") {
+			if f.Kind == standby.Heartbeat {
+				continue
+			}
+			var err error
+			if w.log.Full() {
+				err = w.log.Begin(w.publisher.Snapshot())
+			} else {
+				err = w.log.Append(f)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func size(t *testing.T, directory string) (bytes int64, files []string) {
+	t.Helper()
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		info, err := e.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		bytes += info.Size()
+		files = append(files, filepath.Join(directory, e.Name()))
+	}
+	return bytes, files
+}
+
+// A log that is read again holds the leader's last state, however many segments were begun,
+// and takes no more than its bound.
+func TestLogIsReadAgain(t *testing.T) {
+	for seed := range uint64(10) {
+		directory := t.TempDir()
+		w, _ := newWriter(t, directory, seed)
+		if err := w.change(1200); err != nil {
+			t.Fatal(err)
+		}
+		if bytes, files := size(t, directory); bytes > testBytes || len(files) > segments {
+			t.Fatalf("%d bytes in %d files", bytes, len(files))
+		}
+		if w.log.number < 3 {
+			t.Fatalf("only %d segments were begun", w.log.number)
+		}
+		if err := w.log.Close(); err != nil {
+			t.Fatal(err)
+		}
+		_, recovered := newWriter(t, directory, seed)
+		if at := recovered.Replica.Position(); at.Term != 7 || at.Sequence != w.publisher.Newest() || recovered.TornBytes != 0 {
+			t.Fatalf("seed %d: read up to %+v of %d, %d bytes torn", seed, at, w.publisher.Newest(), recovered.TornBytes)
+		}
+		if got, want := recovered.Replica.Entries(), w.publisher.Snapshot().Entries; fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("seed %d: read %d entries, the leader has %d", seed, len(got), len(want))
+		}
+	}
+}
+
+// A log that ends anywhere in a record, or has flipped bits, is read up to there; what follows is
+// cut off, and the log goes on behind it.
+func TestTornTail(t *testing.T) {
+	for seed := range uint64(60) {
+		directory := t.TempDir()
+		w, _ := newWriter(t, directory, seed)
+		if err := w.change(60); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.log.Close(); err != nil {
+			t.Fatal(err)
+		}
+		_, files := size(t, directory)
+		last := files[len(files)-1]
+		content, err := os.ReadFile(last)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rng := rand.New(rand.NewPCG(seed, 6))
+		at := len(magic) + rng.IntN(len(content)-len(magic))
+		if seed%2 == 0 {
+			content = content[:at]
+		} else {
+			content[at] ^= 0x40
+		}
+		if err := os.WriteFile(last, content, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		again, recovered := newWriter(t, directory, seed+1000)
+		if recovered.TornBytes == 0 && seed%2 == 1 {
+			t.Fatalf("seed %d: a flipped bit at %d wasn't noticed", seed, at)
+		}
+		if p := recovered.Replica.Position(); p.Sequence > w.publisher.Newest() {
+			t.Fatalf("seed %d: read up to %+v of %d", seed, p, w.publisher.Newest())
+		}
+		if err := again.change(10); err != nil {
+			t.Fatal(err)
+		}
+		if err := again.log.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, reread := newWriter(t, directory, 0); reread.TornBytes != 0 {
+			t.Fatalf("seed %d: %d bytes still torn", seed, reread.TornBytes)
+		}
+	}
+}
+
+// failingFile is a file on a disk that is full after so many bytes.
+type failingFile struct {
+	File
+	left int
+}
+
+var errFull = errors.New("no space left on device")
+
+// Write writes until the disk is full.
+func (f *failingFile) Write(data []byte) (int, error) {
+	if len(data) > f.left {
+		n, _ := f.File.Write(data[:f.left])
+		f.left = 0
+		return n, errFull
+	}
+	f.left -= len(data)
+	return f.File.Write(data)
+}
+
+// A full disk is told, and leaves a log that can be read.
+func TestFullDisk(t *testing.T) {
+	directory := t.TempDir()
+	w, _ := newWriter(t, directory, 1)
+	w.log.create = func(path string) (File, error) {
+		file, err := createFile(path)
+		return &failingFile{File: file, left: 5000}, err
+	}
+	if err := w.change(300); !errors.Is(err, errFull) {
+		t.Fatalf("a full disk: %v", err)
+	}
+	if err := w.log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, recovered := newWriter(t, directory, 2)
+	if at := recovered.Replica.Position(); at.Sequence == 0 || at.Sequence > w.publisher.Newest() {
+		t.Fatalf("read up to %+v", at)
+	}
+}
+
+// What is no segment of this format is left out, and a directory that isn't there is told.
+func TestForeignFiles(t *testing.T) {
+	directory := t.TempDir()
+	for name, content := range map[string]string{segmentPrefix + "0000000000000004" + segmentSuffix: "another format", "notes.txt": "x"} {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte(content), fileMode); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w, recovered := newWriter(t, directory, 1)
+	if recovered.Records != 0 || w.log.number != 4 {
+		t.Fatalf("%+v, segment %d", recovered, w.log.number)
+	}
+	if _, _, err := Open(filepath.Join(directory, "none"), testBytes); err == nil {
+		t.Fatal("a directory that isn't there is taken")
+	}
+}
--- /dev/null
+++ b/internal/emulator/cluster.go
@@ -0,0 +1,269 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"gingertally/internal/config"
+	"gingertally/internal/wire"
+)
+
+// ClusterOptions say what a cluster on loopback is like.
+type ClusterOptions struct {
+	Directory   string // for settings files and logs
+	Controllers int
+	Machines    int
+	Timings     Timings
+	// OperatorSettings is the operators' file as text; empty: none.
+	OperatorSettings string
+	// Command makes a controller's command from the paths of its settings files; the second
+	// is empty without operators' settings.
+	Command func(settings, operatorSettings string) *exec.Cmd
+}
+
+// Cluster is a deployment on loopback: real controller processes against stand-ins of all
+// else.
+type Cluster struct {
+	State       *StateService
+	History     *History
+	Controllers []*Controller
+	options     ClusterOptions
+	stop        chan struct{}
+	workers     sync.WaitGroup
+}
+
+// Controller is one controller process.
+type Controller struct {
+	Name     string
+	Addr     string // for users and workers
+	settings string
+	operator string
+	log      string
+	command  func(settings, operatorSettings string) *exec.Cmd
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+// teamName is the only team.
+const teamName = "t"
+
+// zoneOf spreads controllers and machines over the zones.
+func zoneOf(i int) string { return zoneNames[i%len(zoneNames)] }
+
+var zoneNames = []string{"a", "b", "c"}
+
+// StartCluster starts stand-ins, controllers and workers.
+func StartCluster(options ClusterOptions) (*Cluster, error) {
+	c := &Cluster{History: NewHistory(), options: options, stop: make(chan struct{})}
+	c.State = NewStateService(c.stop)
+	state, err := Serve(c.State.Handle, c.stop)
+	if err != nil {
+		return nil, err
+	}
+	cloud := &Cloud{Zones: zoneNames}
+	for i := range options.Machines {
+		cloud.Machines = append(cloud.Machines, wire.Rental{Ref: MachineName(i), Endpoint: "127.0.0.1:1", Build: MachineType,
+			Yard: zoneOf(i), Status: wire.RentalRunning, HeldS: 1})
+	}
+	cloudAddr, err := Serve(cloud.Handle, c.stop)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.startControllers(config.Endpoints{Cloud: cloudAddr, State: state}); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	c.startWorkers()
+	return c, nil
+}
+
+// freeAddrs finds loopback addresses on which nothing listens.
+func freeAddrs(n int) ([]string, error) {
+	var listeners []net.Listener
+	var addrs []string
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners, addrs = append(listeners, l), append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+func (c *Cluster) startControllers(endpoints config.Endpoints) error {
+	n := c.options.Controllers
+	addrs, err := freeAddrs(2 * n)
+	if err != nil {
+		return err
+	}
+	clients, peers := addrs[:n], addrs[n:]
+	for i := range n {
+		settings := c.settings(i, clients[i], peers, endpoints)
+		controller, err := c.newController(settings)
+		if err != nil {
+			return err
+		}
+		c.Controllers = append(c.Controllers, controller)
+		if err := controller.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func controllerName(i int) string { return fmt.Sprintf("n-%d", i) }
+
+// settings are a controller's, as the platform would hand them over.
+func (c *Cluster) settings(i int, client string, peers []string, endpoints config.Endpoints) *config.Settings {
+	s := &config.Settings{
+		Member: controllerName(i), Zone: zoneOf(i), ClientListen: client, PeerListen: peers[i], Endpoints: endpoints,
+		Params: config.Params{
+			Zones: zoneNames, Teams: []config.Team{{Name: teamName}},
+			Workers: config.Workers{Report: config.Seconds(c.options.Timings.Report.Seconds()), Lease: config.Seconds(c.options.Timings.Lease.Seconds()),
+				GangWait: 10, GangPeer: 2, Cancel: config.Seconds(2 * c.options.Timings.Lease.Seconds())},
+			State:     config.State{RPS: 500, WriteRPS: 200, ValueKB: 16, TxnOps: 32},
+			Cloud:     config.Cloud{RPS: 20, ListLag: 0.5},
+			Resources: config.Resources{CPUShare: 1, MemoryMB: 200, MaxSockets: 2000},
+			SkewMS:    20,
+		},
+	}
+	for k, addr := range peers {
+		if k != i {
+			s.Peers = append(s.Peers, config.Peer{Member: controllerName(k), Zone: zoneOf(k), Addr: addr})
+		}
+	}
+	return s
+}
+
+// newController writes a controller's files.
+func (c *Cluster) newController(settings *config.Settings) (*Controller, error) {
+	file := func(suffix string) string { return filepath.Join(c.options.Directory, settings.Member+suffix) }
+	controller := &Controller{Name: settings.Member, Addr: settings.ClientListen, settings: file(".json"), log: file(".log"), command: c.options.Command}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(controller.settings, text, 0o600); err != nil {
+		return nil, err
+	}
+	if c.options.OperatorSettings == "" {
+		return controller, nil
+	}
+	controller.operator = file(".txtpb")
+	return controller, os.WriteFile(controller.operator, []byte(c.options.OperatorSettings), 0o600)
+}
+
+// Start starts the controller's process.
+func (c *Controller) Start() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	log, err := os.OpenFile(c.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	process := c.command(c.settings, c.operator)
+	process.Stderr = log
+	if err := process.Start(); err != nil {
+		_ = log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = process.Wait() // it is killed sooner or later
+		_ = log.Close()
+		close(ended)
+	}()
+	c.process, c.ended = process, ended
+	return nil
+}
+
+// Signal sends the controller's process a signal.
+func (c *Controller) Signal(signal syscall.Signal) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.process.Process.Signal(signal)
+}
+
+// Kill kills the controller and waits for its end.
+func (c *Controller) Kill() {
+	_ = c.Signal(syscall.SIGKILL) // it may have ended already
+	<-c.ended
+}
+
+// WaitEnd waits for the process's end, but not for longer than a bound.
+func (c *Controller) WaitEnd(bound time.Duration) bool {
+	select {
+	case <-c.ended:
+		return true
+	case <-time.After(bound):
+		return false
+	}
+}
+
+// Get reads a path of the controller's.
+func (c *Controller) Get(path string, timeout time.Duration) ([]byte, error) {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+c.Addr+path, timeout)
+	if err == nil && status != fasthttp.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return body, err
+}
+
+// startWorkers starts the workers, which report from now on.
+func (c *Cluster) startWorkers() {
+	addrs := map[string]string{}
+	var names []string
+	for _, controller := range c.Controllers {
+		addrs[controller.Name] = controller.Addr
+		names = append(names, controller.Name)
+	}
+	for i := range c.options.Machines {
+		worker := &Worker{Name: MachineName(i), Zone: zoneOf(i), Timings: c.options.Timings, Controllers: addrs, History: c.History}
+		c.workers.Go(func() {
+			if err := worker.Run(names, c.stop); err != nil {
+				c.History.mu.Lock()
+				c.History.fail("worker %s: %v", worker.Name, err)
+				c.History.mu.Unlock()
+			}
+		})
+	}
+}
+
+// Users are users of the cluster.
+func (c *Cluster) Users(openJobs, maxTasks int) *Users {
+	u := &Users{OpenJobs: openJobs, MaxTasks: maxTasks, Team: teamName, History: c.History, RunTime: c.options.Timings.RunTime}
+	for _, controller := range c.Controllers {
+		u.Controllers = append(u.Controllers, controller.Addr)
+	}
+	return u
+}
+
+// Stop ends the controllers, workers and stand-ins.
+func (c *Cluster) Stop() {
+	for _, controller := range c.Controllers {
+		if controller.process == nil {
+			continue
+		}
+		_ = controller.Signal(syscall.SIGCONT)
+		controller.Kill()
+	}
+	close(c.stop)
+	c.workers.Wait()
+}
--- /dev/null
+++ b/internal/emulator/history.go
@@ -0,0 +1,157 @@
+package emulator
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// History notes what workers were told and did and what users heard, and holds the rules of
+// the protocol against it.
+type History struct {
+	mu       sync.Mutex
+	on       map[string]string          // machine by task that is on one
+	attempts map[string]string          // machine by attempt that was ever started
+	done     map[string]map[string]bool // tasks done by job
+	jobs     map[string]*jobHistory
+	newest   uint64 // highest term that a worker has accepted
+	answers  map[uint64]time.Time
+	starts   map[uint64]time.Time
+	started  int
+	broken   []string
+}
+
+// jobHistory is what a job's user knows.
+type jobHistory struct {
+	tasks    int
+	accepted bool
+	told     string
+}
+
+// NewHistory makes an empty history.
+func NewHistory() *History {
+	return &History{on: map[string]string{}, attempts: map[string]string{}, done: map[string]map[string]bool{},
+		jobs: map[string]*jobHistory{}, answers: map[uint64]time.Time{}, starts: map[uint64]time.Time{}}
+}
+
+func (h *History) fail(format string, args ...any) {
+	h.broken = append(h.broken, fmt.Sprintf(format, args...))
+}
+
+// Broken lists the rules that were broken.
+func (h *History) Broken() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.broken...)
+}
+
+// Started is how many tasks were started.
+func (h *History) Started() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.started
+}
+
+// answered notes that a worker accepted an answer of a term.
+func (h *History) answered(term uint64, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.newest = max(h.newest, term)
+	if h.answers[term].IsZero() {
+		h.answers[term] = at
+	}
+}
+
+// startOrdered notes a start that a worker was given and carries out.
+func (h *History) startOrdered(machine, job, task string, attempt, term uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.starts[term].IsZero() {
+		h.starts[term] = time.Now()
+	}
+	h.started++
+	key := fmt.Sprintf("%s#%d", task, attempt)
+	if earlier, used := h.attempts[key]; used {
+		h.fail("order issued twice: %s on %s and %s", key, earlier, machine)
+	}
+	h.attempts[key] = machine
+	if other, there := h.on[task]; there {
+		h.fail("ran_twice: %s starts on %s while on %s", task, machine, other)
+	}
+	h.on[task] = machine
+	if h.jobs[job] == nil {
+		h.fail("start of %s, which nobody submitted", task)
+	}
+}
+
+// left notes that a task has left its machine.
+func (h *History) left(job, task string, done bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.on, task)
+	if !done {
+		return
+	}
+	if h.done[job] == nil {
+		h.done[job] = map[string]bool{}
+	}
+	h.done[job][task] = true
+}
+
+func (h *History) submitted(job string, tasks int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[job] = &jobHistory{tasks: tasks}
+}
+
+func (h *History) accepted(job string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[job].accepted = true
+}
+
+// told notes an answer to a user about an accepted job; an empty status is a 404.
+func (h *History) told(job, status string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[job]
+	switch {
+	case status == "":
+		h.fail("forgotten: %s", job)
+		return
+	case status == "done" && len(h.done[job]) < j.tasks:
+		h.fail("not_done: %s with %d of %d tasks", job, len(h.done[job]), j.tasks)
+	case j.told == "done" && status != j.told:
+		h.fail("went_back: %s from %s to %s", job, j.told, status)
+	case status == "aborted":
+		h.fail("went_back: %s is cancelled, and nobody has asked for it", job)
+	}
+	j.told = status
+}
+
+// Open lists the accepted jobs that aren't over as far as their users know.
+func (h *History) Open() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var open []string
+	for ref, j := range h.jobs {
+		if j.accepted && j.told != "done" {
+			open = append(open, ref)
+		}
+	}
+	return open
+}
+
+// Term is the highest term that a worker has accepted an answer of.
+func (h *History) Term() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.newest
+}
+
+// FirstOf is when a worker first accepted an answer and a start of a term; zero if none did.
+func (h *History) FirstOf(term uint64) (answer, start time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answers[term], h.starts[term]
+}
--- /dev/null
+++ b/internal/emulator/worker.go
@@ -0,0 +1,276 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"gingertally/internal/wire"
+)
+
+// Timings of a deployment that workers go by.
+type Timings struct {
+	Report, Lease time.Duration
+	RunTime       time.Duration // of a task, give or take a half
+}
+
+// Worker is one machine's worker. It reports to one controller at a time and carries out
+// what it is told, as the protocol says.
+type Worker struct {
+	Name, Zone  string
+	Timings     Timings
+	Controllers map[string]string // addresses by name
+	History     *History
+
+	names    []string // of the controllers
+	endpoint string
+	http     fasthttp.Client
+
+	mu       sync.Mutex
+	target   int // which controller it reports to
+	session  uint64
+	seq      uint64
+	token    uint64
+	answered time.Time // when the last answered report was sent
+	lots     map[string]*lot
+	changed  chan struct{}
+}
+
+// lot is a task on the machine.
+type lot struct {
+	name, job string
+	attempt   uint64
+	status    string
+	cause     string
+	gone      chan struct{} // closed when it leaves the machine
+}
+
+// Words of the protocol.
+const (
+	lotRunning  = "running"
+	lotEnded    = "ended"
+	causeDone   = "done"
+	causeHalted = "stopped"
+	verbStart   = "start"
+	verbHalt    = "halt"
+	verbClear   = "clear"
+)
+
+const (
+	// answerTimeout is how long a worker waits for an answer.
+	answerTimeout = 4 * time.Second
+	// nextNodePause is the pause before the next controller is tried.
+	nextNodePause = time.Second
+	// changePause is the least time between two reports.
+	changePause = 500 * time.Millisecond
+)
+
+// reportLot is a task as a report has it.
+type reportLot struct {
+	Lot    string `cbor:"lot"`
+	Try    uint64 `cbor:"try"`
+	Status string `cbor:"status"`
+	Cause  string `cbor:"cause,omitempty"`
+	Kept   bool   `cbor:"kept"`
+}
+
+// report is a worker's report.
+type report struct {
+	Stall    string      `cbor:"stall"`
+	Endpoint string      `cbor:"endpoint"`
+	Build    string      `cbor:"build"`
+	Yard     string      `cbor:"yard"`
+	Loaners  bool        `cbor:"loaners"`
+	Shift    uint64      `cbor:"shift"`
+	Tick     uint64      `cbor:"tick"`
+	Gavel    uint64      `cbor:"gavel"`
+	Lots     []reportLot `cbor:"lots"`
+}
+
+// Run serves direct commands and reports until stop.
+func (w *Worker) Run(names []string, stop <-chan struct{}) error {
+	w.names, w.session, w.answered = names, 1, time.Now()
+	w.lots, w.changed = map[string]*lot{}, make(chan struct{}, 1)
+	w.target = rand.IntN(len(names))
+	w.http.MaxConnsPerHost, w.http.MaxIdemponentCallAttempts = 1, 1
+	var err error
+	if w.endpoint, err = Serve(w.direct, stop); err != nil {
+		return err
+	}
+	for {
+		pause := w.reportOnce()
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(pause):
+		case <-w.changed:
+			time.Sleep(changePause)
+		}
+	}
+}
+
+// reportOnce sends one report, and returns the pause before the next.
+func (w *Worker) reportOnce() time.Duration {
+	w.expire()
+	sent := time.Now()
+	body, target, session := w.nextReport()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + w.Controllers[target] + "/agent/beat")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBodyRaw(body)
+	err := w.http.DoTimeout(request, response, answerTimeout)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case err == nil && response.StatusCode() == fasthttp.StatusOK && session == w.session:
+		w.obeyAnswer(response.Body(), sent)
+		return w.Timings.Report*3/4 + rand.N(w.Timings.Report/2)
+	case err == nil && response.StatusCode() == fasthttp.StatusMisdirectedRequest && w.redirected(response.Body(), target):
+		return rand.N(changePause)
+	}
+	w.target = (w.target + 1) % len(w.names)
+	return nextNodePause
+}
+
+// redirected has the worker go to the controller that a redirect names, if that is another.
+func (w *Worker) redirected(body []byte, from string) bool {
+	var redirect wire.Redirect
+	if wire.Unmarshal(body, &redirect) != nil || redirect.Clerk == from {
+		return false
+	}
+	for i, name := range w.names {
+		if name == redirect.Clerk {
+			w.target = i
+			return true
+		}
+	}
+	return false
+}
+
+// expire ends the session if the worker's lease is over: all that it has is gone.
+func (w *Worker) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.answered) <= w.Timings.Lease {
+		return
+	}
+	for key := range w.lots {
+		w.remove(key, false)
+	}
+	w.session++
+	w.answered = time.Now()
+}
+
+// nextReport is the next report, whom it goes to, and its session.
+func (w *Worker) nextReport() (body []byte, target string, session uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return wire.MustMarshal(w.reportNow()), w.names[w.target], w.session
+}
+
+func (w *Worker) reportNow() report {
+	w.seq++
+	r := report{Stall: w.Name, Endpoint: w.endpoint, Build: MachineType, Yard: w.Zone, Shift: w.session, Tick: w.seq, Gavel: w.token, Lots: []reportLot{}}
+	for _, l := range w.lots {
+		r.Lots = append(r.Lots, reportLot{Lot: l.name, Try: l.attempt, Status: l.status, Cause: l.cause, Kept: l.cause == causeDone})
+	}
+	return r
+}
+
+// obeyAnswer carries out what an answer to a report says, unless its token is too low.
+func (w *Worker) obeyAnswer(body []byte, sent time.Time) {
+	var orders wire.Orders
+	if wire.Unmarshal(body, &orders) != nil || orders.Gavel < w.token {
+		return
+	}
+	if orders.Gavel > w.token {
+		w.noteChange()
+	}
+	w.token, w.answered = orders.Gavel, sent
+	w.History.answered(orders.Gavel, time.Now())
+	w.obey(orders.Orders)
+}
+
+// direct serves direct commands.
+func (w *Worker) direct(request *fasthttp.RequestCtx) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var orders wire.Orders
+	status := fasthttp.StatusConflict
+	switch {
+	case string(request.Path()) == "/status":
+		status = fasthttp.StatusOK
+	case wire.Unmarshal(request.PostBody(), &orders) != nil:
+		status = fasthttp.StatusBadRequest
+	case orders.Gavel >= w.token && orders.Shift == w.session:
+		status = fasthttp.StatusOK
+		w.token = orders.Gavel
+		w.obey(orders.Orders)
+	}
+	reply(request, status, w.reportNow())
+}
+
+func (w *Worker) obey(orders []wire.Order) {
+	for _, o := range orders {
+		job, _, err := wire.ParseTaskName(o.Lot)
+		if err != nil {
+			continue
+		}
+		key := wire.MustMarshal([]any{o.Lot, o.Try})
+		l := w.lots[string(key)]
+		switch {
+		case o.Verb == verbStart && l == nil:
+			w.start(string(key), &lot{name: o.Lot, job: job, attempt: o.Try, status: lotRunning, gone: make(chan struct{})})
+		case o.Verb == verbHalt && l != nil && l.status == lotRunning:
+			w.end(l, causeHalted)
+		case o.Verb == verbClear && l != nil && l.status == lotEnded:
+			delete(w.lots, string(key))
+		}
+	}
+}
+
+// start starts a task; it runs for a while and is done.
+func (w *Worker) start(key string, l *lot) {
+	w.lots[key] = l
+	w.History.startOrdered(w.Name, l.job, l.name, l.attempt, w.token)
+	w.noteChange()
+	runs := w.Timings.RunTime/2 + rand.N(w.Timings.RunTime)
+	go func() {
+		select {
+		case <-l.gone:
+		case <-time.After(runs):
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.lots[key] == l && l.status == lotRunning {
+				w.end(l, causeDone)
+			}
+		}
+	}()
+}
+
+func (w *Worker) end(l *lot, cause string) {
+	l.status, l.cause = lotEnded, cause
+	close(l.gone)
+	w.History.left(l.job, l.name, cause == causeDone)
+	w.noteChange()
+}
+
+// remove has a task vanish without a report.
+func (w *Worker) remove(key string, done bool) {
+	if l := w.lots[key]; l.status == lotRunning {
+		close(l.gone)
+		w.History.left(l.job, l.name, done)
+	}
+	delete(w.lots, key)
+}
+
+func (w *Worker) noteChange() {
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -74,6 +74,8 @@
 	// RequestExtension asks a peer to extend this node's lease by ExtensionFor from
 	// now on; nil: no peer is asked.
 	RequestExtension func(ctx context.Context, member string) bool
+	ClaimDelay       func() time.Duration // how long this node lets others claim first; nil: not at all
+	Vacant           func()               // nobody leads any more; nil: nobody wants to know
 }
 
 // Options are a node's place in the deployment and the lease's length.
@@ -96,6 +98,7 @@
 	validUntil time.Time // this node's lease is valid until then, by its steady clock
 	endTerm    context.CancelFunc
 	resigning  bool
+	successor  string // named as the leader until the next one is known
 
 	extensions  map[string]time.Time // until when each peer extends this node's lease
 	extended    bool                 // the peers have extended the lease since it was last renewed
@@ -149,13 +152,23 @@
 	return e.role == Leading && now.Before(e.validUntil)
 }
 
-// Leader names the node believed to lead; empty if unknown.
+// Leader names the node believed to lead, or about to; empty if unknown.
 func (e *Elector) Leader() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leader == "" || e.resigning {
+		return e.successor
+	}
 	return e.leader
 }
 
+// FollowsAnother tells whether another node is known to lead.
+func (e *Elector) FollowsAnother() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role != Leading && e.leader != "" && e.leader != e.options.Member
+}
+
 // Role returns the node's role.
 func (e *Elector) Role() Role {
 	e.mu.Lock()
@@ -163,10 +176,25 @@
 	return e.role
 }
 
+// HandOver makes a leader give up its lease to a successor, which it names as the leader
+// from now on. It proves nothing about the successor, which claims like any other.
+func (e *Elector) HandOver(successor string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.role == Leading && !e.resigning {
+		e.successor = successor
+	}
+	e.resignLocked("handing over")
+}
+
 // Resign makes a leader give up its lease and let others go first.
 func (e *Elector) Resign(why string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.resignLocked(why)
+}
+
+func (e *Elector) resignLocked(why string) {
 	if e.role == Leading && !e.resigning {
 		slog.Warn("resigning", "term", e.term.N, "why", why)
 		e.resigning = true
@@ -190,6 +218,9 @@
 	if e.leader != name {
 		slog.Info("leader", "is", name)
 	}
+	if name != "" {
+		e.successor = ""
+	}
 	e.leader = name
 }
 
@@ -219,6 +250,8 @@
 		return yieldAfterResigning
 	case e.options.Hooks.Unreached():
 		return yieldUnreached
+	case e.options.Hooks.ClaimDelay != nil:
+		return e.options.Hooks.ClaimDelay()
 	}
 	return 0
 }
@@ -256,9 +289,10 @@
 		e.setLeader("")
 		if freeSince.IsZero() {
 			freeSince = time.Now()
+			e.noteVacant()
 		}
-		if time.Since(freeSince) < e.yieldFor() {
-			pause(ctx, yieldCheck)
+		if left := e.yieldFor() - time.Since(freeSince); left > 0 {
+			pause(ctx, min(left, yieldCheck))
 			continue
 		}
 		if e.claim(ctx) {
@@ -268,6 +302,13 @@
 	return ctx.Err()
 }
 
+// noteVacant tells that nobody leads any more.
+func (e *Elector) noteVacant() {
+	if e.options.Hooks.Vacant != nil {
+		e.options.Hooks.Vacant()
+	}
+}
+
 // follow waits while another node leads.
 func (e *Elector) follow(ctx context.Context, it statestore.Item) {
 	var h holder
@@ -360,7 +401,7 @@
 func (e *Elector) begin(t Term, endTerm context.CancelFunc) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.term, e.leader, e.endTerm, e.resigning = t, e.options.Member, endTerm, false
+	e.term, e.leader, e.endTerm, e.resigning, e.successor = t, e.options.Member, endTerm, false, ""
 	e.moveLocked(Leading)
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,16 @@
 	BatchInterval time.Duration
 	RoundBudget   time.Duration
 	Weights       core.Weights
+	Standby       Standby
+}
+
+// Standby are the settings of the warm standby.
+type Standby struct {
+	Enabled          bool
+	QueueBound       int           // changes that a leader keeps for controllers that are behind
+	SnapshotInterval time.Duration // between two snapshots to one controller, at the least
+	LogDirectory     string        // of the decision log; none if empty
+	LogBytes         int64         // that the decision log may take
 }
 
 // Default returns the settings of an empty file.
@@ -31,6 +41,7 @@
 	return Settings{
 		RestartLimit: 3, BatchInterval: 2 * time.Second, RoundBudget: 60 * time.Millisecond,
 		Weights: core.DefaultWeights(),
+		Standby: Standby{QueueBound: 4096, SnapshotInterval: 2 * time.Second, LogBytes: 64 << 20},
 	}
 }
 
@@ -55,6 +66,12 @@
 	maxRoundBudget   = 5 * time.Second
 	maxMoneyWeight   = 100  // of weights in seconds or dollars
 	maxPlainWeight   = 1000 // of weights without a unit
+	minQueueBound    = 64
+	maxQueueBound    = 1_000_000
+	minSnapshots     = 100 * time.Millisecond
+	maxSnapshots     = time.Minute
+	minLogBytes      = 1 << 20
+	maxLogBytes      = 16 << 30
 )
 
 func parse(path, text string) (Settings, error) {
@@ -75,9 +92,35 @@
 		c.weight("move_gain", weights.MoveGain, &settings.Weights.MoveGain, maxPlainWeight)
 		c.weight("small_first", weights.SmallFirst, &settings.Weights.SmallFirst, maxPlainWeight)
 	}
+	c.standby(message.Standby, &settings.Standby)
 	return settings, c.err
 }
 
+// standby checks the settings of the warm standby and takes them over.
+func (c *checker) standby(message *operatorpb.Standby, target *Standby) {
+	if message == nil {
+		return
+	}
+	target.Enabled = message.GetEnabled()
+	if message.QueueBound != nil {
+		target.QueueBound = int(c.number("queue_bound", float64(message.GetQueueBound()), minQueueBound, maxQueueBound))
+	}
+	c.duration("snapshot_interval", message.SnapshotInterval, &target.SnapshotInterval, minSnapshots, maxSnapshots)
+	if message.LogBytes != nil {
+		target.LogBytes = int64(c.number("log_bytes", float64(message.GetLogBytes()), minLogBytes, maxLogBytes))
+	}
+	target.LogDirectory = message.GetLogDirectory()
+	if target.LogDirectory == "" {
+		return
+	}
+	if !target.Enabled {
+		c.fail("log_directory", "needs enabled: true")
+	}
+	if info, err := os.Stat(target.LogDirectory); err != nil || !info.IsDir() {
+		c.fail("log_directory", "%q is no directory", target.LogDirectory)
+	}
+}
+
 var (
 	position  = regexp.MustCompile(`\(line (\d+):\d+\): `)
 	fieldName = regexp.MustCompile(`(\w+)\s*[:{]`)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,8 +55,9 @@
 	return &peerpb.Reply{Status: int32(status), Body: body}, nil
 }
 
-// Serve answers the other nodes until ctx ends.
-func Serve(ctx context.Context, listener net.Listener, handle Handler) error {
+// Serve answers the other nodes until ctx ends. Further services between the nodes may be
+// registered beside the relay.
+func Serve(ctx context.Context, listener net.Listener, handle Handler, register ...func(grpc.ServiceRegistrar)) error {
 	s := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveEvery, Timeout: keepaliveTimeout}),
@@ -64,6 +65,9 @@
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 	)
 	peerpb.RegisterPeerServer(s, &server{handle: handle})
+	for _, add := range register {
+		add(s)
+	}
 	stop := context.AfterFunc(ctx, s.Stop)
 	defer stop()
 	if err := s.Serve(listener); err != nil && ctx.Err() == nil {
@@ -119,6 +123,15 @@
 	return int(reply.Status), reply.Body, nil
 }
 
+// Connection is the connection to a node, for services other than the relay.
+func (c *Client) Connection(to string) (grpc.ClientConnInterface, error) {
+	connection := c.connections[to]
+	if connection == nil {
+		return nil, fmt.Errorf("%w: %q", ErrUnknownPeer, to)
+	}
+	return connection, nil
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	for name, connection := range c.connections {
--- a/internal/simulation/standby.go
+++ b/internal/simulation/standby.go
@@ -120,7 +120,7 @@
 func (n *node) endTerm() {
 	n.eng, n.publisher = nil, nil
 	if n.standby != nil {
-		n.standby.TermEnded()
+		n.standby.TermEnded(n.term.N)
 	}
 }
 
--- a/internal/standby/publisher.go
+++ b/internal/standby/publisher.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// Snapshot is the whole state as one frame.
+func (p *Publisher) Snapshot() Frame {
+	return Frame{
+		Kind: Snapshot, Term: p.term, Sequence: p.newest, Newest: p.newest, Entries: p.state.entries(),
+		Last: true, HasDigest: true, Digest: p.state.digest,
+	}
+}
+
+// Followers lists how far each follower has acknowledged, by name.
+func (p *Publisher) Followers() map[string]uint64 {
+	out := make(map[string]uint64, len(p.followers))
+	for name, f := range p.followers {
+		out[name] = f.acknowledged
+	}
+	return out
+}
+
 // Newest is the number of the newest change.
 func (p *Publisher) Newest() uint64 { return p.newest }
 
--- a/internal/standby/replica.go
+++ b/internal/standby/replica.go
@@ -59,6 +59,17 @@
 	return r.newest - min(r.newest, r.sequence), r.complete
 }
 
+// Snapshot is the whole copy as one frame; false if it isn't complete.
+func (r *Replica) Snapshot() (Frame, bool) {
+	if !r.complete {
+		return Frame{}, false
+	}
+	return Frame{
+		Kind: Snapshot, Term: r.term, Sequence: r.sequence, Newest: r.sequence, Entries: r.state.entries(),
+		Last: true, HasDigest: true, Digest: r.state.digest,
+	}, true
+}
+
 // Entries lists the copy's entries by key.
 func (r *Replica) Entries() []Entry { return r.state.entries() }
 
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -234,10 +234,10 @@
 	return View{Entries: s.replica.Entries(), Recent: recent, Age: age}, nil
 }
 
-// TermEnded notes that this controller's term is over. What it knew is replaced by the next
-// leader's state.
-func (s *Standby) TermEnded() {
-	if s.state != Confirming && s.state != Active {
+// TermEnded notes that a term of this controller is over. What it knew is replaced by the
+// next leader's state. It may have claimed a later term already.
+func (s *Standby) TermEnded(term uint64) {
+	if s.claim.Term != term || s.state != Confirming && s.state != Active {
 		return
 	}
 	s.replica.Reset()
--- a/internal/standby/standby_test.go
+++ b/internal/standby/standby_test.go
@@ -77,7 +77,7 @@
 	if _, err := p.follower.Confirm(p.now, 70); err != nil {
 		t.Fatal(err)
 	}
-	p.follower.TermEnded()
+	p.follower.TermEnded(2)
 	if p.follower.State() != SteppedDown {
 		t.Fatalf("%v after the term", p.follower.State())
 	}
