--- a/internal/core/placement/array.go
+++ b/internal/core/placement/array.go
@@ -40,6 +40,6 @@
 	}
 	if unmet := want - placed; unmet > 0 && task >= 0 && !entry.ImageCachedOnly {
 		b.wait(j, 1, b.InZones(j.Ref))
-		b.Unmet(j, unmet)
+		b.NoRoom(j, unmet)
 	}
 }
--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -33,7 +33,7 @@
 		return
 	}
 	b.wait(j, n, map[string]int{})
-	b.Unmet(j, n)
+	b.NoRoom(j, n)
 }
 
 // startGang places a gang. A task that has its image waits only so long for the
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	b := &board{}
 	now := time.Unix(100, 0)
-	b.Board = Board{Now: now, FreeCapacity: &FreeCapacity{}, Waits: 5, SecondsPerDollarHour: 1,
+	b.Board = Board{Now: now, FreeCapacity: &FreeCapacity{}, MaxReservations: 5, SecondsPerDollarHour: 1,
 		Team:    func(string) Team { return Team{CPUsMax: 40} },
 		Usage:   func(string) fleet.Amount { return fleet.Amount{CPUs: float64(8 * len(b.placed))} },
 		InZones: func(string) map[string]int { return map[string]int{} },
@@ -57,7 +57,7 @@
 			b.placed = append(b.placed, d)
 			d.Job.Assign(d.Task, d.Slot.Machine.Name, 1)
 		},
-		Unmet:    func(_ *pipeline.Job, n int) { b.unmet += n },
+		NoRoom:   func(_ *pipeline.Job, n int) { b.unmet += n },
 		EndOf:    func(*fleet.Attempt) time.Time { return now.Add(time.Minute) },
 		Due:      func(*pipeline.Job) time.Time { return now.Add(time.Second) },
 		StartBy:  func(*pipeline.Job) time.Time { return time.Time{} },
--- a/internal/core/placement/preempt.go
+++ b/internal/core/placement/preempt.go
@@ -38,10 +38,10 @@
 // what may be stopped. Each round does so for a few jobs, the first in the order.
 func (b *Board) wait(j *pipeline.Job, n int, zones map[string]int) {
 	preempts := b.Preempts(j)
-	if b.Waits == 0 || !(preempts || n > 1 || b.large(j)) {
+	if b.MaxReservations == 0 || !(preempts || n > 1 || b.large(j)) {
 		return
 	}
-	b.Waits--
+	b.MaxReservations--
 	places, at := b.soonest(j, n, zones)
 	if len(places) < n || at.After(b.Due(j).Add(-endsLate)) {
 		if preempts && b.makeRoom(j, n, zones) {
--- a/internal/core/placement/replicas.go
+++ b/internal/core/placement/replicas.go
@@ -31,7 +31,7 @@
 	}
 	if task >= 0 && want > 0 {
 		b.makeRoomForReplicas(j, want, b.InZones(j.Ref))
-		b.Unmet(j, want)
+		b.NoRoom(j, want)
 	}
 }
 
@@ -96,7 +96,7 @@
 // one on each machine and no more in a zone than may be there, on the cheapest machines:
 // unlike a gang's tasks, each is of use without the others.
 func (b *Board) makeRoomForReplicas(j *pipeline.Job, n int, zones map[string]int) {
-	if b.Waits == 0 || !b.Preempts(j) {
+	if b.MaxReservations == 0 || !b.Preempts(j) {
 		return
 	}
 	inZones := map[string]int{}
--- a/internal/core/placement/rounds.go
+++ b/internal/core/placement/rounds.go
@@ -33,7 +33,7 @@
 	InZones      func(ref string) map[string]int // what of a job may be on machines
 	Busy         func(ref string) int
 	Commit       func(Decision)
-	Unmet        func(j *pipeline.Job, tasks int)
+	NoRoom       func(j *pipeline.Job, tasks int)
 	EndOf        func(a *fleet.Attempt) time.Time // when an attempt is expected to leave
 	Due          func(j *pipeline.Job) time.Time  // when a job must start to keep its next aim
 	StartBy      func(j *pipeline.Job) time.Time  // when its tasks must have started for its next aim on starting
@@ -50,10 +50,10 @@
 	ReportEvery          time.Duration
 	// GangSlack is by how much the fetches of a gang's tasks may differ.
 	GangSlack time.Duration
-	// Waits is for how many jobs that have no room this round keeps or makes some;
+	// MaxReservations is for how many jobs that have no room this round keeps or makes some;
 	// without any, what the last such round kept stays so.
-	Waits int
-	Spent func() bool
+	MaxReservations int
+	Spent           func() bool
 }
 
 // Round is a round of decisions that may take several goes.
@@ -77,7 +77,7 @@
 		}
 	}
 	r.resume = ""
-	if b.Waits > 0 && from == 0 {
+	if b.MaxReservations > 0 && from == 0 {
 		b.FreeCapacity.Clear()
 	}
 	for _, t := range b.Queue[from:] {
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -167,15 +167,37 @@
 	if _, err := io.ReadFull(reader, payload); err != nil || crc32.Checksum(payload, checksums) != sum {
 		return frame, 0, errTorn
 	}
-	if err := wire.Unmarshal(payload, &frame); err != nil {
+	var stored storedFrame
+	if err := wire.Unmarshal(payload, &stored); err != nil {
 		return frame, 0, errTorn
 	}
+	frame = stored.Frame
+	for _, e := range stored.Stored {
+		frame.Entries = append(frame.Entries, standby.Entry{Key: string(e.Key), Value: e.Value})
+	}
 	return frame, headerBytes + int64(length), nil
 }
 
+// storedFrame is a frame as it is written: its entries' keys are bytes, not text.
+type storedFrame struct {
+	standby.Frame
+	Stored []storedEntry
+}
+
+type storedEntry struct {
+	_     struct{} `cbor:",toarray"`
+	Key   []byte
+	Value []byte
+}
+
 // record is a frame as it is written.
 func record(frame standby.Frame) []byte {
-	payload := wire.MustMarshal(frame)
+	stored := storedFrame{Frame: frame, Stored: make([]storedEntry, 0, len(frame.Entries))}
+	for _, e := range frame.Entries {
+		stored.Stored = append(stored.Stored, storedEntry{Key: []byte(e.Key), Value: e.Value})
+	}
+	stored.Entries = nil
+	payload := wire.MustMarshal(stored)
 	out := make([]byte, headerBytes, headerBytes+len(payload))
 	binary.LittleEndian.PutUint32(out[:4], uint32(len(payload)))
 	binary.LittleEndian.PutUint32(out[4:], crc32.Checksum(payload, checksums))
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -38,7 +38,8 @@
 // change makes changes and has the log take them, and returns the first error.
 func (w *writer) change(n int) error {
 	for range n {
-		e := standby.Entry{Key: fmt.Sprint("k", w.rng.IntN(40))}
+		// Keys are bytes, not text: once such a log couldn't be read again.
+		e := standby.Entry{Key: fmt.Sprint("\xff\x80", w.rng.IntN(40))}
 		if w.rng.IntN(5) > 0 {
 			e.Value = fmt.Appendf(nil, "%0100d", w.rng.IntN(1000))
 		}
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -156,7 +156,7 @@
 func (e *Elector) Leader() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader == "" || e.resigning {
+	if e.leader == "" || e.role == Leading && e.resigning {
 		return e.successor
 	}
 	return e.leader
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -40,3 +40,31 @@
 		}
 	}
 }
+
+// The settings of the warm standby, each with its bounds; it is off unless switched on.
+func TestStandbySettings(t *testing.T) {
+	directory := t.TempDir()
+	s, err := parse("op.txt", "standby {\n enabled: true\n queue_bound: 100\n snapshot_interval { seconds: 5 }\n log_directory: \""+directory+"\"\n log_bytes: 2000000\n}\n")
+	if want := (Standby{Enabled: true, QueueBound: 100, SnapshotInterval: 5 * time.Second, LogDirectory: directory, LogBytes: 2_000_000}); err != nil || s.Standby != want {
+		t.Fatalf("%+v, %v", s.Standby, err)
+	}
+	if s, err := parse("op.txt", "standby {}"); err != nil || s.Standby.Enabled {
+		t.Fatalf("an empty message: %+v, %v", s.Standby, err)
+	}
+	if s, err := Load("../../deploy/standby.txtpb"); err != nil || !s.Standby.Enabled {
+		t.Fatalf("the file that switches it on: %+v, %v", s.Standby, err)
+	}
+	for _, c := range []struct{ text, part string }{
+		{"standby {\n  enabled: true\n  queue_bound: 1\n}", "op.txt:3: queue_bound"},
+		{"standby { snapshot_interval { seconds: 600 } }", "op.txt:1: snapshot_interval"},
+		{"standby {\n enabled: true\n log_bytes: 5\n}", "op.txt:3: log_bytes"},
+		{"standby {\n enabled: true\n\n log_directory: \"/does/not/exist\"\n}", "op.txt:4: log_directory"},
+		{"standby { log_directory: \"" + directory + "\" }", "op.txt:1: log_directory: needs enabled"},
+		{"standby { enabled: 3 }", "enabled"},
+		{"standby { enable: true }", "enable"},
+	} {
+		if _, err := parse("op.txt", c.text); err == nil || !strings.Contains(err.Error(), c.part) {
+			t.Errorf("%s: %v", c.text, err)
+		}
+	}
+}
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -42,8 +42,8 @@
 
 func name(t *task) string { return wire.TaskName(t.job.spec.Ref, t.index) }
 
-// landed checks a task's start: ran_twice, wrong_place, quota, ran_cancelled.
-func (c *checker) landed(t *task) {
+// taskStarted checks a task's start: ran_twice, wrong_place, quota, ran_cancelled.
+func (c *checker) taskStarted(t *task) {
 	c.started++
 	c.progressed(t)
 	key := name(t)
--- a/internal/simulation/fault_scenarios_test.go
+++ b/internal/simulation/fault_scenarios_test.go
@@ -159,7 +159,7 @@
 func (m *faultScenario) play(t *testing.T, seed uint64, notes map[string]int, trace bool) {
 	t.Helper()
 	o := m.options(seed)
-	o.Standby = os.Getenv("SIMULATION_STANDBY") != ""
+	o.Standby = o.Standby || os.Getenv("SIMULATION_STANDBY") != ""
 	w := NewWorld(o)
 	s := newScript(w)
 	m.script(s)
@@ -173,6 +173,11 @@
 	for what, n := range s.notes {
 		notes[what] += n
 	}
+	if w.standbys != nil {
+		for what, n := range w.standbys.notes {
+			notes[what] += n
+		}
+	}
 	notes["starts after a confirmed cancellation"] += w.check.startsCancelled
 	for _, j := range s.sortedJobs() {
 		switch {
--- a/internal/simulation/standby.go
+++ b/internal/simulation/standby.go
@@ -19,6 +19,7 @@
 	lost    float64 // share of frames lost
 	doubled float64 // share of frames that come twice
 	slow    time.Duration
+	lagging time.Time // no follower gets anything until then
 	streams map[*node]map[*node]*stream // by leader and follower
 }
 
@@ -166,7 +167,7 @@
 // a while, so that the leader's bound is met.
 func (n *node) sendFrames(c *stream, o *node) {
 	s, w := n.w.standbys, n.w
-	if w.now.Before(c.lagUntil) {
+	if w.now.Before(c.lagUntil) || w.now.Before(s.lagging) {
 		return
 	}
 	if w.o.Faults && !w.noNet && s.rng.IntN(60) == 0 {
--- a/internal/simulation/task.go
+++ b/internal/simulation/task.go
@@ -39,10 +39,10 @@
 // gangWait is how long a gang's task waits for the others.
 const gangWait = 15 * time.Second
 
-// land puts the task on its machine: its image is there.
-func (t *task) land() {
+// occupyMachine puts the task on its machine: its image is there.
+func (t *task) occupyMachine() {
 	t.onIt = true
-	t.m.w.check.landed(t)
+	t.m.w.check.taskStarted(t)
 	if t.job.spec.Shape != pipeline.Gang {
 		t.run()
 		return
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -363,7 +363,7 @@
 	}
 	t.timer(fetch, func() {
 		m.images[j.spec.Image] = true
-		t.land()
+		t.occupyMachine()
 	})
 }
 
--- /dev/null
+++ b/internal/standbyrpc/standbyrpc_test.go
@@ -0,0 +1,187 @@
+package standbyrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"gingertally/internal/standby"
+)
+
+// source is a leader, or, without a publisher, a node that doesn't lead.
+type source struct {
+	mu        sync.Mutex
+	publisher *standby.Publisher
+	wake      chan struct{}
+	left      int
+}
+
+var errNotLeading = errors.New("not leading")
+
+// Join has a follower served.
+func (s *source) Join(follower string, from standby.Position) (<-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.publisher == nil {
+		return nil, errNotLeading
+	}
+	s.publisher.Follow(follower, from)
+	return s.wake, nil
+}
+
+// Next is the next frame.
+func (s *source) Next(follower string) (standby.Frame, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.publisher == nil {
+		return standby.Frame{}, false, errNotLeading
+	}
+	f, ok := s.publisher.Next(time.Now(), follower)
+	return f, ok, nil
+}
+
+// Acknowledge notes a position.
+func (s *source) Acknowledge(follower string, at standby.Position, resync bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if resync {
+		s.publisher.Follow(follower, at)
+		return
+	}
+	s.publisher.Acknowledge(follower, at)
+}
+
+// Leave counts followers that are gone.
+func (s *source) Leave(string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left++
+}
+
+func (s *source) change(from, to int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := from; i < to; i++ {
+		s.publisher.Publish([]standby.Entry{{Key: fmt.Sprint("k", i%50), Value: fmt.Append(nil, i)}})
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *source) caughtUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.publisher.CaughtUp("b")
+}
+
+// serve serves a source on loopback, nil standing for a version without the stream, and
+// returns a connection to it.
+func serve(t *testing.T, s *source) *grpc.ClientConn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	if s != nil {
+		Register(server, s)
+	}
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	t.Cleanup(server.Stop)
+	connection, err := grpc.NewClient(listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	return connection
+}
+
+func leading() *source {
+	options := standby.Options{QueueBound: 1000, SnapshotInterval: time.Millisecond, Heartbeat: 20 * time.Millisecond}
+	return &source{publisher: standby.NewPublisher(3, options), wake: make(chan struct{}, 1)}
+}
+
+// A follower gets a snapshot and then each change, asks anew when it has lost its copy, and
+// ends in the leader's state.
+func TestFollow(t *testing.T) {
+	s := leading()
+	connection := serve(t, s)
+	s.change(0, 200)
+	replica := standby.NewReplica()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	frames := 0
+	over := make(chan error, 1)
+	go func() {
+		over <- Follow(ctx, connection, "b", replica.Position(), func(f standby.Frame) Received {
+			if frames++; frames == 4 {
+				replica.Reset() // as if it had been found to differ
+				return Received{Resync: true}
+			}
+			verdict := replica.Apply(f)
+			return Received{At: replica.Position(), Resync: verdict.Lost()}
+		})
+	}()
+	for i := range 20 {
+		s.change(200+20*i, 220+20*i)
+		time.Sleep(2 * time.Millisecond)
+	}
+	for end := time.Now().Add(20 * time.Second); !s.caughtUp(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the follower never caught up")
+		}
+	}
+	cancel()
+	if err := <-over; err == nil {
+		t.Fatal("no error at the stream's end")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got, want := fmt.Sprint(replica.Entries()), fmt.Sprint(s.publisher.Snapshot().Entries); got != want {
+		t.Fatalf("the follower has %s, the leader %s", got, want)
+	}
+	if s.publisher.Snapshots("b") < 2 {
+		t.Fatalf("%d snapshots", s.publisher.Snapshots("b"))
+	}
+}
+
+// A node that doesn't lead refuses followers, and one of a version without the stream is told
+// apart, so that it is left alone.
+func TestNobodyToFollow(t *testing.T) {
+	receive := func(standby.Frame) Received { return Received{} }
+	err := Follow(t.Context(), serve(t, &source{}), "b", standby.Position{}, receive)
+	if err == nil || errors.Is(err, ErrUnsupported) {
+		t.Fatalf("from a node that doesn't lead: %v", err)
+	}
+	if err := Follow(t.Context(), serve(t, nil), "b", standby.Position{}, receive); !errors.Is(err, ErrUnsupported) {
+		t.Fatalf("from a version without the stream: %v", err)
+	}
+}
+
+// Every frame is the same after the wire, and one of a later version's kind is no change.
+func TestFramesOnTheWire(t *testing.T) {
+	for _, f := range []standby.Frame{
+		{Kind: standby.Snapshot, Term: 1, Sequence: 9, Newest: 12, Part: 2, Last: true, HasDigest: true, Digest: 77, Entries: []standby.Entry{{Key: "a", Value: []byte("x")}}},
+		{Kind: standby.Changes, Term: 1, Sequence: 9, Newest: 9, Entries: []standby.Entry{{Key: "a"}, {Key: "b", Value: []byte{0}}}},
+		{Kind: standby.Heartbeat, Term: 2, Sequence: 1, Newest: 1, HasDigest: true},
+		{Kind: standby.HandOver, Term: 2, Successor: "c"},
+	} {
+		if got := fromWire(toWire(f)); fmt.Sprintf("%#v", got) != fmt.Sprintf("%#v", f) {
+			t.Errorf("%#v became %#v", f, got)
+		}
+	}
+	later := toWire(standby.Frame{Kind: standby.Changes, Term: 4})
+	later.Kind = 99
+	if got := fromWire(later); got.Kind != standby.Heartbeat {
+		t.Errorf("an unknown kind became %v", got.Kind)
+	}
+}
