--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -33,6 +33,7 @@
 type settingsFiles struct {
 	Config           string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
 	OperatorSettings string `placeholder:"FILE" env:"GINGERTALLY_OPERATOR_SETTINGS" help:"The operators' own settings (protobuf text format)."`
+	Standby          bool   `help:"Switch the warm standby on, whatever the operators' settings say."`
 }
 
 // load reads and checks both files.
@@ -42,6 +43,7 @@
 		return nil, operator.Settings{}, err
 	}
 	operatorSettings, err := operator.Load(f.OperatorSettings)
+	operatorSettings.Standby.Enabled = operatorSettings.Standby.Enabled || f.Standby
 	return settings, operatorSettings, err
 }
 
--- /dev/null
+++ b/internal/emulator/cluster_test.go
@@ -0,0 +1,142 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"gingertally/internal/config"
+	"gingertally/internal/daemon"
+	"gingertally/internal/operator"
+)
+
+// Variables by which the test's program runs as a controller.
+const (
+	settingsVariable = "EMULATOR_CONTROLLER_SETTINGS"
+	operatorVariable = "EMULATOR_OPERATOR_SETTINGS"
+)
+
+// TestMain runs a controller where the variables ask for one, and else the tests.
+func TestMain(m *testing.M) {
+	if path := os.Getenv(settingsVariable); path != "" {
+		if err := runController(path, os.Getenv(operatorVariable)); !errors.Is(err, context.Canceled) {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func runController(path, operatorPath string) error {
+	settings, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	operatorSettings, err := operator.Load(operatorPath)
+	if err != nil {
+		return err
+	}
+	controller, err := daemon.New(settings, operatorSettings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	return controller.Run(ctx)
+}
+
+// startTestCluster starts three real controllers of this program, with or without the warm
+// standby.
+func startTestCluster(t *testing.T, operatorSettings string) *Cluster {
+	t.Helper()
+	cluster, err := StartCluster(ClusterOptions{
+		Directory: t.TempDir(), Controllers: 3, Machines: 6, OperatorSettings: operatorSettings,
+		Timings: Timings{Report: time.Second, Lease: 15 * time.Second, RunTime: time.Second},
+		Command: func(settings, operatorSettings string) *exec.Cmd {
+			command := exec.Command(os.Args[0])
+			command.Env = append(os.Environ(), settingsVariable+"="+settings, operatorVariable+"="+operatorSettings)
+			return command
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cluster.Stop)
+	return cluster
+}
+
+// leaderOf waits until a controller leads whose term workers know, and returns it with its
+// status.
+func leaderOf(t *testing.T, cluster *Cluster) (*Controller, daemon.Status) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, c := range cluster.Controllers {
+			var s daemon.Status
+			body, err := c.Get(daemon.StatusPath, 2*time.Second)
+			if err != nil || json.Unmarshal(body, &s) != nil || s.Node != c.Name || s.Leading == nil {
+				continue
+			}
+			if _, start := cluster.History.FirstOf(s.Leading.Term); !start.IsZero() {
+				return c, s
+			}
+		}
+	}
+	t.Fatal("no controller leads and gives starts")
+	return nil, daemon.Status{}
+}
+
+// Real controllers on loopback, with the warm standby on: the leader is killed, paused until
+// another leads, and told to end, under load. However long that takes on a busy machine, no
+// order is issued twice, no job forgotten, and every accepted job comes to its end.
+func TestLeadersEndUnderLoad(t *testing.T) {
+	cluster := startTestCluster(t, "standby { enabled: true }")
+	load, stop := context.WithCancel(t.Context())
+	defer stop()
+	over := make(chan struct{})
+	go func() {
+		cluster.Users(8, 3).Run(load, 2*time.Minute)
+		close(over)
+	}()
+	for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGTERM} {
+		leader, s := leaderOf(t, cluster)
+		if err := leader.Signal(signal); err != nil {
+			t.Fatal(err)
+		}
+		if signal != syscall.SIGSTOP && !leader.WaitEnd(time.Minute) {
+			t.Fatalf("%s doesn't end by %v", leader.Name, signal)
+		}
+		next, after := leaderOf(t, cluster)
+		if next == leader || after.Leading.Term <= s.Leading.Term {
+			t.Fatalf("%s leads term %d after %s of term %d", next.Name, after.Leading.Term, leader.Name, s.Leading.Term)
+		}
+		if takeover := after.Standby.LastTakeover; takeover != nil {
+			t.Logf("%v: warm %v, %v", signal, takeover.Warm, takeover.Phases)
+		}
+		if signal == syscall.SIGSTOP {
+			if err := leader.Signal(syscall.SIGCONT); err != nil {
+				t.Fatal(err)
+			}
+		} else if err := leader.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	<-over
+	for _, rule := range cluster.History.Broken() {
+		t.Error(rule)
+	}
+	if open := cluster.History.Open(); len(open) > 0 {
+		t.Errorf("%d accepted jobs never came to an end: %v", len(open), open)
+	}
+	if n := cluster.History.Started(); n < 10 {
+		t.Errorf("only %d tasks were started", n)
+	}
+}
