--- /dev/null
+++ b/internal/simulation/admission.go
@@ -0,0 +1,201 @@
+package simulation
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gingertally/internal/admission"
+	"gingertally/internal/core"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/wire"
+)
+
+// admissionWorld is admission control in a world: the nodes' gates and the leader's planner
+// are the real ones. It draws random numbers of its own, so that worlds without it stay what
+// they are. A nil one admits everything.
+type admissionWorld struct {
+	w        *World
+	rng      *rand.Rand
+	notes    map[string]int
+	policies map[[2]uint64]string // what each policy says, by term and number
+}
+
+// policyKey holds the policy in the state service, as in the daemon.
+const policyKey = "adm/policy"
+
+// Settings of admission control in simulated worlds, in which a backlog of seconds is much.
+const (
+	simulatedPolicyEvery = time.Second
+	simulatedEnter       = 20 * time.Second
+	simulatedExit        = 8 * time.Second
+	simulatedPolicyAge   = 6 * time.Second
+	simulatedFloor       = 0.05
+)
+
+func newAdmissionWorld(w *World) *admissionWorld {
+	return &admissionWorld{w: w, rng: rand.New(rand.NewPCG(w.o.Seed, 29)), notes: map[string]int{}, policies: map[[2]uint64]string{}}
+}
+
+func (a *admissionWorld) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(a.rng.Int64N(int64(hi-lo)+1))
+}
+
+// bootAdmission gives a process that has just started a gate without a policy.
+func (n *node) bootAdmission() {
+	n.gate, n.planner = nil, nil
+	if n.w.admission == nil || n.old {
+		return
+	}
+	n.gate = admission.NewGate(n.local(), admission.GateOptions{Teams: slices.Sorted(maps.Keys(n.w.teams)), Jobs: 4, PolicyAge: simulatedPolicyAge})
+	n.loop(n.life, simulatedPolicyEvery, n.plan)
+	n.loop(n.life, simulatedPolicyAge/3, n.keepPolicy)
+}
+
+// admits tells whether a node takes a job now, or when its user is to come again. A known job
+// is never refused.
+func (n *node) admits(j *userJob) (again time.Duration, ok bool) {
+	if n.gate == nil || n.w.store.items[jobstore.JobPrefix+j.spec.Ref] != nil || n.w.store.items["f/"+j.spec.Ref] != nil {
+		return 0, true
+	}
+	d := n.gate.Decide(n.local(), admission.Offer{Job: j.spec.Ref, Spec: &j.spec})
+	if d.Admitted {
+		n.w.admission.notes["admitted"]++
+		return 0, true
+	}
+	n.w.admission.notes["refused: "+d.Reason.String()]++
+	if d.RetryAfter < time.Second || d.RetryAfter > 30*time.Second {
+		n.w.check.fail("Retry-After of %s", d.RetryAfter)
+	}
+	return d.RetryAfter, false
+}
+
+// take has a node take a policy, and checks that it never goes back, and that a policy says
+// the same wherever it comes from.
+func (n *node) take(p admission.Policy) {
+	a, before := n.w.admission, *n.gate.Policy()
+	if p.Number > 0 {
+		key := [2]uint64{p.Term, p.Number}
+		text := fmt.Sprintf("%x", wire.MustMarshal(p))
+		if earlier, known := a.policies[key]; known && earlier != text {
+			n.w.check.fail("policy %d.%d says two things", p.Term, p.Number)
+		}
+		a.policies[key] = text
+	}
+	if n.gate.Take(n.local(), p) {
+		a.notes["policies taken"]++
+	} else {
+		a.notes["policies not taken"]++
+	}
+	if before.Newer(n.gate.Policy()) {
+		n.w.check.fail("%s goes back from policy %d.%d", n.name, before.Term, before.Number)
+	}
+	if n.gate.Fallback(n.local()) {
+		a.notes["fallbacks"]++
+	}
+}
+
+// storedPolicy is the policy that the state service holds, as a node reads it.
+func (n *node) storedPolicy() (p admission.Policy, ok bool) {
+	item, found, err := n.storeView().Get(bg, policyKey)
+	if err != nil {
+		return p, false
+	}
+	if found && wire.Unmarshal(item.V, &p) != nil {
+		n.w.check.fail("the policy can't be read")
+	}
+	return p, true
+}
+
+// keepPolicy has a node that hears no leader read the policy from the state service.
+func (n *node) keepPolicy() {
+	if n.holdsLease() || n.cutOff() || n.local().Sub(n.gate.HeardAt()) < simulatedPolicyAge/2 {
+		return
+	}
+	if p, ok := n.storedPolicy(); ok {
+		n.take(p)
+	}
+}
+
+// plan is the leader's round: gather, plan, store, send.
+func (n *node) plan() {
+	if !n.holdsLease() || n.cutOff() {
+		return
+	}
+	if n.planner == nil || n.plannerTerm != n.term.N {
+		stored, ok := n.storedPolicy()
+		if !ok {
+			return
+		}
+		n.planner = admission.NewPlanner(n.local(), admission.PlannerOptions{Teams: n.w.teams, Floor: simulatedFloor, EnterBacklog: simulatedEnter,
+			ExitBacklog: simulatedExit, Interval: simulatedPolicyEvery}, n.term.N, stored)
+		n.plannerTerm, n.latestPolicy = n.term.N, stored
+	}
+	load := n.eng.Load(n.local())
+	batches := []admission.Batch{n.gate.TakeCounts(n.local())}
+	for _, o := range n.w.nodes {
+		if o != n && o.gate != nil && n.reaches(o) {
+			batches = append(batches, o.gate.TakeCounts(o.local()))
+		}
+	}
+	if !load.Settled {
+		return
+	}
+	policy, changed := n.planner.Plan(n.local(), admission.Load{Backlog: load.Backlog, Batches: batches,
+		Rates: admission.Rates{CPUs: load.Capacity.CPUs, GPUs: load.Capacity.GPUs, MemGB: load.Capacity.MemGB, Jobs: 20}})
+	if !changed {
+		n.sendPolicy()
+		return
+	}
+	eng, term, view := n.eng, n.term, n.storeView()
+	stored := false
+	n.call(func() {
+		_, err := view.Commit(bg, []wire.Condition{jobstore.UnderTerm(term)}, []wire.Change{{Put: policyKey, V: wire.MustMarshal(policy)}})
+		stored = err == nil
+	}, func() {
+		if stored && n.eng == eng && n.holdsLease() {
+			n.w.admission.notes["policies stored"]++
+			n.latestPolicy = policy
+			n.take(policy)
+			n.step(core.FairOrder{On: policy.Overloaded()})
+			n.sendPolicy()
+		}
+	})
+}
+
+// sendPolicy sends the stored policy to all nodes, some late and some twice.
+func (n *node) sendPolicy() {
+	a, p := n.w.admission, n.latestPolicy
+	for _, o := range n.w.nodes {
+		if o == n || o.gate == nil || !n.reaches(o) {
+			continue
+		}
+		life := o.life
+		deliver := func(delay time.Duration) {
+			n.w.after(delay, func() { o.run(life, func() { o.take(p) }) })
+		}
+		deliver(a.between(time.Millisecond, 30*time.Millisecond))
+		if n.w.o.Faults && !n.w.noNet && a.rng.IntN(10) == 0 {
+			deliver(a.between(time.Second, 10*time.Second))
+		}
+	}
+}
+
+// floodUsers has one team submit bulk work again and again, all at once, at one node or at
+// all.
+func (w *World) floodUsers() {
+	a := w.admission
+	for flood := range 3 {
+		at := a.between(0, w.o.Length*2/3)
+		for i := range 15 {
+			j := &userJob{w: w, done: map[int]bool{}, run: a.between(4*time.Second, 12*time.Second)}
+			s := &j.spec
+			s.Ref, s.Class, s.Team, s.Image, s.ImageGB = fmt.Sprintf("j-8%02d%03d", flood, i), "bulk", "green", "img-0", 1
+			s.Tasks, s.CPUs, s.MemGB, s.Priority, s.Spot, s.Estimate = 4+a.rng.IntN(8), 2, 4, 2, true, j.run
+			w.jobs[s.Ref] = j
+			w.after(at+a.between(0, time.Second), j.submit)
+		}
+	}
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"gingertally/internal/admission"
 	"gingertally/internal/core"
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/health"
@@ -48,9 +49,15 @@
 	booted       time.Time
 
 	// Warm standby; all nil where it is off.
-	standby     *standby.Standby
-	publisher   *standby.Publisher // of the term that the node leads in
-	vacantSince time.Time          // since when nobody leads, as far as it knows
+	standby   *standby.Standby
+	publisher *standby.Publisher // of the term that the node leads in
+	// Admission control; all nil where it is off.
+	gate         *admission.Gate
+	planner      *admission.Planner // of the term that the node leads in
+	plannerTerm  uint64
+	latestPolicy admission.Policy // that is stored
+
+	vacantSince time.Time // since when nobody leads, as far as it knows
 }
 
 var bg = context.Background()
@@ -76,6 +83,7 @@
 	n.claiming, n.grantedUntil, n.booted, n.extensions = 0, time.Time{}, n.local(), map[*node]time.Time{}
 	n.health = health.New(n.local())
 	n.bootStandby()
+	n.bootAdmission()
 	limits := n.limits()
 	limits.NotCancelledFor = n.w.o.Cancel / sureParts
 	n.jobs = jobstore.New(n.storeView(), limits)
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -140,6 +140,10 @@
 		j.w.after(time.Second, j.submit)
 		return
 	}
+	if again, ok := n.admits(j); !ok {
+		j.w.after(again, j.submit)
+		return
+	}
 	jobs := n.jobs
 	answered := false
 	create := func() {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -32,6 +32,7 @@
 	Lease              time.Duration
 	Cancel             time.Duration
 	LeaseTTL           time.Duration // of the lease under the leader key
+	Admission          bool          // admission control, and a team that floods the deployment
 	Standby            bool          // the leader's warm state is replicated
 	ShortLease         bool          // the jobs and faults of a deployment with short leases
 }
@@ -68,6 +69,7 @@
 	script          *script         // nil: none
 	shortLease      *shortLease     // nil: none
 	digest          *digest         // nil: none
+	admission       *admissionWorld // nil: everything is admitted
 	standbys        *standbyNetwork // nil: the warm state isn't replicated
 }
 
@@ -116,6 +118,9 @@
 	if o.Standby {
 		w.standbys = newStandbyNetwork(w)
 	}
+	if o.Admission {
+		w.admission = newAdmissionWorld(w)
+	}
 	w.check = newChecker(w)
 	w.cloud = &cloudSim{w: w, answered: map[string][]string{}}
 	for i := range o.Nodes {
@@ -127,6 +132,9 @@
 		w.cloud.create([]string{"small", "large"}[w.rng.IntN(2)], w.zones[w.rng.IntN(len(w.zones))], false, 0)
 	}
 	w.planUsers()
+	if w.admission != nil {
+		w.floodUsers()
+	}
 	w.pipelines = newPipelinePlan(w)
 	w.shortLease.start()
 	if o.Faults {
--- a/internal/surge/result.go
+++ b/internal/surge/result.go
@@ -35,6 +35,9 @@
 	offered, taken, gaveUp []int
 	refusedKnown           []int
 	policies               int
+	storedAt               time.Duration // when the newest policy was stored
+	spread                 bool          // all controllers apply it
+	longestSpread          time.Duration
 	admittedCost           []float64 // since the last sample
 	waits                  []*hdrhistogram.Histogram
 	turns                  []*hdrhistogram.Histogram
@@ -177,6 +180,24 @@
 	return due, got, gap
 }
 
+// LongestSpread is the longest that it took until all controllers that hear a leader applied
+// a new policy.
+func (r *Result) LongestSpread() time.Duration { return r.longestSpread }
+
+// noteSpread notes whether all controllers apply the newest policy.
+func (r *Result) noteSpread(w *World) {
+	if r.spread || r.policies == 0 {
+		return
+	}
+	for _, g := range w.gates {
+		if w.stored.Newer(g.Policy()) {
+			return
+		}
+	}
+	r.spread = true
+	r.longestSpread = max(r.longestSpread, w.now-r.storedAt)
+}
+
 // Policies is how many policies were stored.
 func (r *Result) Policies() int { return r.policies }
 
--- a/internal/surge/surge.go
+++ b/internal/surge/surge.go
@@ -157,6 +157,7 @@
 	for ; w.now < w.o.Length; w.now += step {
 		w.faults()
 		w.deliver()
+		w.result.noteSpread(w)
 		w.arrive()
 		w.ask()
 		w.work()
@@ -382,6 +383,7 @@
 		}
 		w.stored = policy
 		w.result.policies++
+		w.result.storedAt, w.result.spread = w.now, false
 	}
 	delay := 20 * time.Millisecond
 	f := w.active(func(f *Fault) bool { return f.Delayed > 0 || f.TwiceAgain })
--- a/tools/failover/result.go
+++ b/tools/failover/result.go
@@ -11,11 +11,9 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/components"
-	"github.com/go-echarts/go-echarts/v2/opts"
 
 	"gingertally/internal/emulator"
+	"gingertally/tools/plots"
 )
 
 const (
@@ -40,13 +38,12 @@
 
 // distribution are figures of a histogram, in milliseconds.
 type distribution struct {
-	Count                     int64
-	Min, P50, P90, P99, P999  int64
-	Max                       int64
-	Mean                      float64
-	AboveAim                  int64   // how many are above the aim
-	AboveAimShare             float64 // and which share
-	PercentileAndMilliseconds [][2]float64
+	Count                    int64
+	Min, P50, P90, P99, P999 int64
+	Max                      int64
+	Mean                     float64
+	AboveAim                 int64   // how many are above the aim
+	AboveAimShare            float64 // and which share
 }
 
 func newResult(o options) *result {
@@ -125,9 +122,6 @@
 		}
 	}
 	d.AboveAimShare = float64(d.AboveAim) / float64(max(1, d.Count))
-	for _, b := range h.CumulativeDistribution() {
-		d.PercentileAndMilliseconds = append(d.PercentileAndMilliseconds, [2]float64{b.Quantile, float64(b.ValueAt)})
-	}
 	return d
 }
 
@@ -150,29 +144,10 @@
 
 // writePage draws each distribution by percentile.
 func (r *result) writePage(path string) error {
-	line := charts.NewLine()
-	line.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: "Takeover times", Subtitle: fmt.Sprintf("%d leaders ended, %s, seed %d", r.Options.Kills, r.Took, r.Options.Seed)}),
-		charts.WithXAxisOpts(opts.XAxis{Name: "percentile", Type: "value"}),
-		charts.WithYAxisOpts(opts.YAxis{Name: "ms"}),
-		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
-	)
-	for _, name := range slices.Sorted(maps.Keys(r.Distributions)) {
-		var points []opts.LineData
-		for _, p := range r.Distributions[name].PercentileAndMilliseconds {
-			points = append(points, opts.LineData{Value: p})
-		}
-		line.AddSeries(name, points)
-	}
-	page := components.NewPage()
-	page.AddCharts(line)
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	if err := page.Render(file); err != nil {
-		_ = file.Close()
-		return err
+	chart := plots.Chart{Title: "Takeover times", Subtitle: fmt.Sprintf("%d leaders ended, %s, seed %d", r.Options.Kills, r.Took, r.Options.Seed),
+		X: "percentile", Y: "ms", Lines: map[string][]plots.Point{}}
+	for name, h := range r.histograms {
+		chart.Lines[name] = plots.Percentiles(h)
 	}
-	return file.Close()
+	return plots.WritePage(path, []plots.Chart{chart})
 }
