Admission: shares asked for and got, waits by team and class in the status; surge on loopback

Need: the status had neither the share that a class got nor its waits; the measurement had no variant with real processes.

Change: as the title says; the emulator's users belong to teams.

--- a/cmd/gingertally/admission.go
+++ b/cmd/gingertally/admission.go
@@ -61,7 +61,7 @@
 	if a.Fallback {
 		fmt.Fprintln(&text, "fallback\tthe policy is old; no leader was heard")
 	}
-	fmt.Fprintln(&text, "\nTEAM\tCLASS\tPRIORITY\tDUE\tTAKEN EACH POLICY\tOFFERED\tADMITTED\tREFUSED")
+	fmt.Fprintln(&text, "\nTEAM\tCLASS\tPRIORITY\tASKED\tDUE\tGOT\tTAKEN EACH POLICY\tOFFERED\tADMITTED\tREFUSED")
 	for _, c := range a.Classes {
 		if team == "" || c.Team == team {
 			fmt.Fprintln(&text, classText(c))
@@ -72,12 +72,18 @@
 
 // classText is the line of a class.
 func classText(c daemon.ClassDecision) string {
-	due, fraction := "-", "all"
-	if c.Due > 0 {
-		due = fmt.Sprintf("%.1f%%", 100*c.Due)
-	}
+	fraction := "all"
 	if c.Fraction < 1 {
 		fraction = fmt.Sprintf("%.2f%%", 100*c.Fraction)
 	}
-	return fmt.Sprintf("%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d", c.Team, c.Class, c.Priority, due, fraction, c.Offered, c.Admitted, c.Refused)
+	return fmt.Sprintf("%s\t%s\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%d", c.Team, c.Class, c.Priority, partText(c.Asked), partText(c.Due), partText(c.Got),
+		fraction, c.Offered, c.Admitted, c.Refused)
+}
+
+// partText is a part of the capacity in percent.
+func partText(part float64) string {
+	if part <= 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*part)
 }
--- a/cmd/gingertally/status.go
+++ b/cmd/gingertally/status.go
@@ -132,6 +132,12 @@
 	for _, job := range leading.Waiting {
 		fmt.Fprintf(text, "%s\t%s\t%s\t%d of %d\t%s\t%s\n", job.Ref, job.Class, job.Team, job.Waiting, job.Tasks, job.Since.Round(time.Second), job.Reason)
 	}
+	for i, w := range leading.Starts {
+		if i == 0 {
+			fmt.Fprintln(text, "\nTEAM\tCLASS\tJOBS STARTED\tMEAN WAIT\tLONGEST")
+		}
+		fmt.Fprintf(text, "%s\t%s\t%d\t%s\t%s\n", w.Team, w.Class, w.Jobs, w.Mean.Round(time.Millisecond), w.Max.Round(time.Millisecond))
+	}
 	if more := leading.Waits - len(leading.Waiting); more > 0 {
 		fmt.Fprintf(text, "and %d more\n", more)
 	}
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -88,6 +88,22 @@
 // Policy returns the newest policy.
 func (p *Planner) Policy() Policy { return p.policy }
 
+// Measured is what the planner has measured of a key, in parts of the capacity.
+type Measured struct {
+	Key
+	Offered, Due, Got float64 // Got is 0 without overload, or where nothing is refused
+}
+
+// Measured lists what was measured, by key.
+func (p *Planner) Measured() []Measured {
+	var out []Measured
+	for _, k := range p.sortedKeys() {
+		s := p.keys[k]
+		out = append(out, Measured{Key: k, Offered: s.offered, Due: s.due, Got: s.taken})
+	}
+	return out
+}
+
 // Plan takes in what was measured since the last plan, and makes the next policy. Changed
 // tells whether it differs from the one before, and so has to be stored; without overload it
 // mostly doesn't.
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -42,6 +42,10 @@
 // startSent notes that an attempt's start goes out with the answer to the newest report.
 func (e *Engine) startSent(now time.Time, m *fleet.Machine, a *fleet.Attempt) {
 	a.CommandSeq = m.Seq
+	if j := e.jobs[a.Ref]; j != nil && !j.Started && !j.StartSent {
+		j.StartSent = true
+		e.waits.note(j, now.Sub(j.Since))
+	}
 	e.moveAttempt(now, m, a, fleet.Sent)
 	imageGB := e.imageGB(a.Ref)
 	cache, rate := e.catalog.Images(m.Type)
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -117,6 +117,7 @@
 	jobEndsFirst bool // whose turn it is in the next batch
 
 	// Admission under overload.
+	waits     startWaits
 	fairOrder FairOrder
 	backlog   fleet.Amount // what waited at the last round, in seconds of each resource
 
@@ -219,6 +220,7 @@
 		teamUse:       map[string]fleet.Amount{},
 		changed:       map[*fleet.Machine]bool{},
 		emptying:      map[*fleet.Machine]bool{},
+		waits:         startWaits{},
 		replan:        true,
 	}
 	if cfg.WarmState {
--- a/internal/core/pipeline/job.go
+++ b/internal/core/pipeline/job.go
@@ -56,6 +56,7 @@
 	Since          time.Time    // from when its times count: submitted, or the end of its last dependency
 	CancelAt       time.Time    // zero unless it is cancelled
 	Started        bool         // a task of it has run
+	StartSent      bool         // a start of it was given in this term
 	Urgency        Priority     // the highest among its own and those of its dependents
 	CriticalPath   CriticalPath // to the dependent with a deadline that leaves it the least time
 	Tasks          []Task
--- /dev/null
+++ b/internal/core/start_waits.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gingertally/internal/core/pipeline"
+)
+
+// StartWait is how long the jobs of a team's class have waited for their first start in this
+// term.
+type StartWait struct {
+	Team, Class string
+	Jobs        int
+	Mean, Max   time.Duration
+}
+
+// maxStartWaits bounds the classes that are told apart.
+const maxStartWaits = 500
+
+// waitKey names what waits are kept by.
+type waitKey struct{ team, class string }
+
+// startWaits keeps the waits of jobs for their first start.
+type startWaits map[waitKey]*StartWait
+
+// note takes in the wait of a job of which the first task starts.
+func (w startWaits) note(j *pipeline.Job, wait time.Duration) {
+	key := waitKey{j.Team, j.Class}
+	s := w[key]
+	if s == nil {
+		if len(w) >= maxStartWaits {
+			return
+		}
+		s = &StartWait{Team: j.Team, Class: j.Class}
+		w[key] = s
+	}
+	s.Jobs++
+	s.Mean += (wait - s.Mean) / time.Duration(s.Jobs)
+	s.Max = max(s.Max, wait)
+}
+
+// list lists all by team and class.
+func (w startWaits) list() []StartWait {
+	out := make([]StartWait, 0, len(w))
+	for _, s := range w {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b StartWait) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class))
+	})
+	return out
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -20,6 +20,7 @@
 	Waits    int          // how many wait in all
 	Active   int          // jobs that aren't over
 	Unstored int          // starts that wait for the state service
+	Starts   []StartWait  // how long jobs waited for their first start in this term
 }
 
 // PoolStatus counts the machines that are alike.
@@ -56,7 +57,7 @@
 
 // Status tells of machines and of jobs that wait.
 func (e *Engine) Status(now time.Time) Status {
-	s := Status{Term: e.term, Settled: e.settled(now), Pools: e.poolStatus(), Active: len(e.order), Unstored: len(e.startLog.unpaged)}
+	s := Status{Term: e.term, Settled: e.settled(now), Pools: e.poolStatus(), Active: len(e.order), Unstored: len(e.startLog.unpaged), Starts: e.waits.list()}
 	e.addWaiting(now, &s)
 	e.addHeld(now, &s)
 	return s
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -48,6 +48,7 @@
 	mu     sync.Mutex
 	gate   *admission.Gate
 	totals map[admission.Key]*admission.Count // since the start
+	shares []admission.Measured               // by the leader, while this node leads
 }
 
 // newAdmissionNode makes the node's part in admission control; nil if it is off.
@@ -141,6 +142,7 @@
 	}
 	planner := admission.NewPlanner(time.Now(), n.planner, s.term.N, stored)
 	n.take(stored)
+	defer n.noteShares(nil)
 	latest := stored
 	for sleep(s.ctx, n.planner.Interval) {
 		if !s.holdsLease() {
@@ -151,7 +153,9 @@
 		if !settled {
 			continue
 		}
-		if policy, changed := planner.Plan(time.Now(), load); changed {
+		policy, changed := planner.Plan(time.Now(), load)
+		n.noteShares(planner.Measured())
+		if changed {
 			if !s.storePolicy(policy) {
 				continue // nobody hears of a policy that isn't stored
 			}
@@ -163,6 +167,13 @@
 	return s.ctx.Err()
 }
 
+// noteShares notes what the leader has measured, for the status.
+func (n *admissionNode) noteShares(shares []admission.Measured) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.shares = shares
+}
+
 // storedPolicy reads the policy that the state service holds.
 func (s *leaderSession) storedPolicy() (admission.Policy, error) {
 	for {
--- a/internal/daemon/admission_status.go
+++ b/internal/daemon/admission_status.go
@@ -26,6 +26,8 @@
 	Class    string  `json:"class"`
 	Priority int     `json:"priority"`
 	Due      float64 `json:"due"`      // part of the capacity; 0 without overload
+	Asked    float64 `json:"asked"`    // part of the capacity that is asked for, as the leader measures it
+	Got      float64 `json:"got"`      // part of the capacity that is admitted, likewise; 0 where nothing is refused
 	Fraction float64 `json:"fraction"` // of its jobs whose turn comes with each policy; 1: all are taken
 	Offered  int     `json:"offered"`
 	Admitted int     `json:"admitted"`
@@ -52,6 +54,10 @@
 		c := of(share.Key)
 		c.Due, c.Fraction = share.Due, share.Fraction
 	}
+	for _, m := range n.shares {
+		c := of(m.Key)
+		c.Asked, c.Got = m.Offered, m.Got
+	}
 	for k, total := range n.totals {
 		c := of(k)
 		c.Offered, c.Admitted, c.Refused = total.Offered, total.Admitted, total.Refused
--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -23,6 +23,8 @@
 	Controllers int
 	Machines    int
 	Timings     Timings
+	// Teams are the teams; none: one without guarantee or limit.
+	Teams []config.Team
 	// OperatorSettings is the operators' file as text; empty: none.
 	OperatorSettings string
 	// Command makes a controller's command from the paths of its settings files; the second
@@ -55,7 +57,7 @@
 	ended   chan struct{}
 }
 
-// teamName is the only team.
+// teamName is the only team where none is named.
 const teamName = "t"
 
 // zoneOf spreads controllers and machines over the zones.
@@ -65,6 +67,9 @@
 
 // StartCluster starts stand-ins, controllers and workers.
 func StartCluster(options ClusterOptions) (*Cluster, error) {
+	if len(options.Teams) == 0 {
+		options.Teams = []config.Team{{Name: teamName}}
+	}
 	c := &Cluster{History: NewHistory(), options: options, stop: make(chan struct{})}
 	c.State = NewStateService(c.stop)
 	state, err := Serve(c.State.Handle, c.stop)
@@ -135,7 +140,7 @@
 	s := &config.Settings{
 		Member: controllerName(i), Zone: zoneOf(i), ClientListen: client, PeerListen: peers[i], Endpoints: endpoints,
 		Params: config.Params{
-			Zones: zoneNames, Teams: []config.Team{{Name: teamName}},
+			Zones: zoneNames, Teams: c.options.Teams,
 			Workers: config.Workers{Report: config.Seconds(c.options.Timings.Report.Seconds()), Lease: config.Seconds(c.options.Timings.Lease.Seconds()),
 				GangWait: 10, GangPeer: 2, Cancel: config.Seconds(2 * c.options.Timings.Lease.Seconds())},
 			State:     config.State{RPS: 500, WriteRPS: 200, ValueKB: 16, TxnOps: 32},
@@ -248,7 +253,7 @@
 
 // Users are users of the cluster.
 func (c *Cluster) Users(openJobs, maxTasks int) *Users {
-	u := &Users{OpenJobs: openJobs, MaxTasks: maxTasks, Team: teamName, History: c.History, RunTime: c.options.Timings.RunTime}
+	u := &Users{OpenJobs: openJobs, MaxTasks: maxTasks, Team: c.options.Teams[0].Name, Class: "c", Urgency: "normal", History: c.History, RunTime: c.options.Timings.RunTime}
 	for _, controller := range c.Controllers {
 		u.Controllers = append(u.Controllers, controller.Addr)
 	}
--- a/internal/emulator/history.go
+++ b/internal/emulator/history.go
@@ -23,9 +23,12 @@
 
 // jobHistory is what a job's user knows.
 type jobHistory struct {
-	tasks    int
-	accepted bool
-	told     string
+	team      string
+	tasks     int
+	submitted time.Time
+	accepted  time.Time
+	started   time.Time
+	told      string
 }
 
 // NewHistory makes an empty history.
@@ -79,8 +82,13 @@
 		h.fail("ran_twice: %s starts on %s while on %s", task, machine, other)
 	}
 	h.on[task] = machine
-	if h.jobs[job] == nil {
+	j := h.jobs[job]
+	if j == nil {
 		h.fail("start of %s, which nobody submitted", task)
+		return
+	}
+	if j.started.IsZero() {
+		j.started = time.Now()
 	}
 }
 
@@ -98,16 +106,16 @@
 	h.done[job][task] = true
 }
 
-func (h *History) submitted(job string, tasks int) {
+func (h *History) submitted(job, team string, tasks int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.jobs[job] = &jobHistory{tasks: tasks}
+	h.jobs[job] = &jobHistory{team: team, tasks: tasks, submitted: time.Now()}
 }
 
 func (h *History) accepted(job string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.jobs[job].accepted = true
+	h.jobs[job].accepted = time.Now()
 }
 
 // told notes an answer to a user about an accepted job; an empty status is a 404.
@@ -135,7 +143,7 @@
 	defer h.mu.Unlock()
 	var open []string
 	for ref, j := range h.jobs {
-		if j.accepted && j.told != "done" {
+		if !j.accepted.IsZero() && j.told != "done" {
 			open = append(open, ref)
 		}
 	}
@@ -155,3 +163,28 @@
 	defer h.mu.Unlock()
 	return h.answers[term], h.starts[term]
 }
+
+// JobTimes is what became of a job, from its first submission on; negative: it didn't.
+type JobTimes struct {
+	Team               string
+	Tasks              int
+	Admission, Started time.Duration
+}
+
+// Jobs lists what became of all jobs.
+func (h *History) Jobs() []JobTimes {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]JobTimes, 0, len(h.jobs))
+	for _, j := range h.jobs {
+		times := JobTimes{Team: j.team, Tasks: j.tasks, Admission: -1, Started: -1}
+		if !j.accepted.IsZero() {
+			times.Admission = j.accepted.Sub(j.submitted)
+		}
+		if !j.started.IsZero() {
+			times.Started = j.started.Sub(j.submitted)
+		}
+		out = append(out, times)
+	}
+	return out
+}
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -16,6 +16,9 @@
 	OpenJobs    int
 	MaxTasks    int // of a job
 	Team        string
+	Class       string
+	Urgency     string
+	First       int // number of the first user, so that users of one history differ
 	History     *History
 	RunTime     time.Duration // that they give as their estimate
 }
@@ -23,6 +26,8 @@
 const (
 	// callBudget bounds the tries of one call at one controller; then another is tried.
 	callBudget = 1500 * time.Millisecond
+	// submitBudget is the same for a submission: long enough to come again once when told to.
+	submitBudget = 35 * time.Second
 	// pollPause is the pause between two questions about a job.
 	pollPause = time.Second
 	// firstRef begins the numbers of the users' jobs.
@@ -50,7 +55,7 @@
 	defer stop()
 	context.AfterFunc(ctx, func() { time.AfterFunc(drain, stop) })
 	for n := 0; ctx.Err() == nil; n++ {
-		ref := fmt.Sprintf("j-%d%06d", firstRef+user, n)
+		ref := fmt.Sprintf("j-%d%06d", firstRef+u.First+user, n)
 		if u.submit(asking, ref, 1+rand.IntN(u.MaxTasks)) {
 			u.follow(asking, ref)
 		}
@@ -58,16 +63,16 @@
 }
 
 // anyController is a client of a controller by chance.
-func (u *Users) anyController() *client.Client {
-	return &client.Client{Addr: u.Controllers[rand.IntN(len(u.Controllers))], Budget: callBudget}
+func (u *Users) anyController(budget time.Duration) *client.Client {
+	return &client.Client{Addr: u.Controllers[rand.IntN(len(u.Controllers))], Budget: budget}
 }
 
 func (u *Users) submit(ctx context.Context, ref string, tasks int) bool {
-	u.History.submitted(ref, tasks)
-	job := fmt.Appendf(nil, `{"ref":%q,"lot_kind":"c","owner":%q,"shape":"sweep","urgency":"normal","lots":%d,"vcpus":2,"cards":0,"mem_gb":4,
-		"kit":"i","pull_gb":0.1,"one_zone":false,"apart":false,"loaners":false,"guess_s":%g,"mark_s":0,"stash_s":0}`, ref, u.Team, tasks, u.RunTime.Seconds())
+	u.History.submitted(ref, u.Team, tasks)
+	job := fmt.Appendf(nil, `{"ref":%q,"lot_kind":%q,"owner":%q,"shape":"sweep","urgency":%q,"lots":%d,"vcpus":2,"cards":0,"mem_gb":4,
+		"kit":"i","pull_gb":0.1,"one_zone":false,"apart":false,"loaners":false,"guess_s":%g,"mark_s":0,"stash_s":0}`, ref, u.Class, u.Team, u.Urgency, tasks, u.RunTime.Seconds())
 	for ctx.Err() == nil {
-		if _, err := u.anyController().Submit(ctx, job); err == nil {
+		if _, err := u.anyController(submitBudget).Submit(ctx, job); err == nil {
 			u.History.accepted(ref)
 			return true
 		} else if errors.Is(err, client.ErrRefused) {
@@ -82,7 +87,7 @@
 // follow asks about a job until it is over.
 func (u *Users) follow(ctx context.Context, ref string) {
 	for ctx.Err() == nil {
-		run, err := u.anyController().Get(ctx, ref)
+		run, err := u.anyController(callBudget).Get(ctx, ref)
 		switch {
 		case errors.Is(err, client.ErrNotFound):
 			u.History.told(ref, "")
--- a/tools/surge/main.go
+++ b/tools/surge/main.go
@@ -21,12 +21,20 @@
 	Seed   uint64        `default:"1" help:"Of the choices."`
 	Window time.Duration `default:"2m" help:"Over which shares are held against what is due."`
 	Page   string        `help:"File for the page with plots (HTML)."`
+
+	Loopback bool   `help:"Play real controllers on loopback instead, in real time."`
+	Binary   string `default:"target/gingertally" help:"The controller's program, on loopback."`
+	Without  bool   `help:"On loopback: without admission control."`
 }
 
 func main() {
 	var o options
 	kong.Parse(&o, kong.Description("Plays teams under overload and measures shares and waits."))
-	if err := run(o); err != nil {
+	play := run
+	if o.Loopback {
+		play = runLoopback
+	}
+	if err := play(o); err != nil {
 		fmt.Fprintln(os.Stderr, "surge:", err)
 		os.Exit(1)
 	}
