Admission: the test of guarantees held nothing

Cause: it demanded guarantees only where capacity was left over, which it never is for a team that wants more. A deliberate fault (guarantees ignored) passed.

Change: guarantees are demanded wherever all floors and guarantees fit into the capacity.

Result: TestAllocate fails under that fault now, and passes without.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -73,8 +73,18 @@
 		if s := sum(given); s > 1+tolerance || s < min(1, total)-tolerance {
 			t.Fatalf("seed %d: %g given of a demand of %g", seed, s, total)
 		}
+		promised := 0.0 // floors and guarantees, which all have to be kept if they fit
 		for name, share := range teams {
-			if got[name] < min(share.Guarantee, want[name])-tolerance && sum(given) < 1-tolerance {
+			floors := 0.0
+			for _, d := range demands {
+				if d.Team == name {
+					floors += min(floor, d.Rate)
+				}
+			}
+			promised += max(floors, min(share.Guarantee, want[name]))
+		}
+		for name, share := range teams {
+			if promised <= 1 && got[name] < min(share.Guarantee, want[name])-tolerance {
 				t.Fatalf("seed %d: %s is given %g of its guarantee %g", seed, name, got[name], share.Guarantee)
 			}
 			if want[name]-got[name] < tolerance {
