Recovery: differences classified in one place, pace of orders, restored state service

The takeover's checks lay spread over the core, and orders were released as fast as answers go. A state service restored from an older copy made leaders run work twice: workers' tokens were only ever compared as higher.

Change: package recovery classifies every difference between reports and records (a table with an action for each), follows term and machines as state machines with counts, decides when placing may begin (moved from the core), and bounds the pace of orders at the start of a term (off by default). Work that no record names is adopted by a write where that is safe, or stopped. A worker that has a higher token, or this term's from somebody else, shows that the state service was restored: that is noted there under the term, the next term is above all seen ones, and nothing is placed until all leases are over. Where no machine is on record, a worker has to vouch for the records by its token, or a report period to pass.

--- a/internal/admission/counter.go
+++ b/internal/admission/counter.go
@@ -11,7 +11,7 @@
 	Offered  int     `cbor:"o"` // jobs, refused ones that come again included
 	Admitted int     `cbor:"a"`
 	Refused  int     `cbor:"r"`
-	Cost     float64 `cbor:"c"` // of the offered, see JobCost
+	Cost     float64 `cbor:"x"` // of the offered, see JobCost
 	Taken    float64 `cbor:"k"` // of the admitted
 }
 
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
 )
 
 // commands is what the worker is told in answer to the report just heard: first
@@ -30,7 +31,7 @@
 			c.Op, c.Grace = fleet.Stop, a.Grace
 			a.CommandSeq = m.Seq
 			stops = append(stops, c)
-		case state == fleet.Recorded && !a.Inherited && e.mayStart(m) && !now.Before(a.NotBefore):
+		case state == fleet.Recorded && !a.Inherited && e.mayStart(m) && !now.Before(a.NotBefore) && e.recovery.Pacer().Take(e.urgent(a)):
 			c.Op = fleet.Start
 			e.startSent(now, m, a)
 			starts = append(starts, c)
@@ -39,6 +40,12 @@
 	return append(append(forgets, stops...), starts...)
 }
 
+// urgent tells whether an attempt's start isn't held back by the pace of a recovery.
+func (e *Engine) urgent(a *fleet.Attempt) bool {
+	j := e.jobs[a.Ref]
+	return j != nil && j.Urgency <= pipeline.High
+}
+
 // startSent notes that an attempt's start goes out with the answer to the newest report.
 func (e *Engine) startSent(now time.Time, m *fleet.Machine, a *fleet.Attempt) {
 	a.CommandSeq = m.Seq
--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -21,23 +21,8 @@
 
 const planEach = 4 * time.Millisecond
 
-// settled tells whether a new leader has heard enough to place: nearly all
-// machines that the start log names, or one report period has passed. What it
-// places on is proven free in any case; with few machines heard it would choose
-// badly. After a warm start, machines that are expected count as heard, and half of them are
-// enough.
-func (e *Engine) settled(now time.Time) bool {
-	if now.Sub(e.started) > e.cfg.ReportEvery*5/4+time.Second {
-		return true
-	}
-	if e.warmOutcome.Expected > 0 && 2*e.unheard <= len(e.machines) {
-		return true // the rest differs from what the leader before knew, and is waited for
-	}
-	return len(e.machines) > 0 && !e.lastList.IsZero() && e.unheard <= len(e.machines)/unheardPart
-}
-
-// unheardPart is the part of the machines that may be unheard of when placing begins.
-const unheardPart = 5
+// settled tells whether a new leader knows enough to place (recovery.Reconciler.MayPlace).
+func (e *Engine) settled(now time.Time) bool { return e.recovery.MayPlace(now, !e.lastList.IsZero()) }
 
 // reservationsPerRound is for how many jobs a round keeps or makes room.
 const reservationsPerRound = 30
@@ -189,6 +174,9 @@
 	if now.Sub(e.started) < e.cfg.ReportEvery*5/4 {
 		return // machines may be there that haven't been heard of yet
 	}
+	if !e.recovery.Pacer().Take(false) {
+		return
+	}
 	for _, o := range e.plan.Choose(now, demand, &e.freeCapacity, e.catalog) {
 		e.counter++
 		e.plan.Asked(o.Offer, o.Count)
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -14,6 +14,7 @@
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/core/placement"
+	"gingertally/internal/recovery"
 )
 
 // Config is what the core needs of the settings.
@@ -25,14 +26,15 @@
 	CancelWithin time.Duration
 	GangWait     time.Duration // how long a gang's task waits for the others
 	ListLag      time.Duration
-	RestartLimit int           // bad exits of a task before it is held back
-	BatchEvery   time.Duration // how often partial progress is written
-	MaxPerValue  int           // bytes that one value in the store may have
-	WriteRate    float64       // changes a second that the leader may make; 0: unknown
-	RoundBudget  int           // tasks looked at in one round of decisions
-	Weights      Weights       // of money against lateness
-	Debug        bool          // notes at debug level are wanted
-	WarmState    bool          // changes of the warm state are to be noted, see WarmChanges
+	RestartLimit int                  // bad exits of a task before it is held back
+	BatchEvery   time.Duration        // how often partial progress is written
+	MaxPerValue  int                  // bytes that one value in the store may have
+	WriteRate    float64              // changes a second that the leader may make; 0: unknown
+	RoundBudget  int                  // tasks looked at in one round of decisions
+	Weights      Weights              // of money against lateness
+	Debug        bool                 // notes at debug level are wanted
+	Pace         recovery.PaceOptions // of orders at the start of a term
+	WarmState    bool                 // changes of the warm state are to be noted, see WarmChanges
 }
 
 // Weights say what money is worth against lateness.
@@ -86,7 +88,8 @@
 	machines    map[string]*fleet.Machine
 	gone        map[string]time.Time    // names of machines proven gone, and since when
 	timers      timerQueue              // when machines are to be checked
-	unheard     int                     // machines on record that have not been heard of yet
+	recovery    *recovery.Reconciler    // of what the records and the machines say
+	writesFail  bool                    // the last batch wasn't written
 	unreachable map[*fleet.Machine]bool // machines that seem to receive no answers
 	lastList    time.Time               // of the cloud
 	prunedAt    time.Time               // when gone was last pruned
@@ -163,9 +166,11 @@
 	Direct  []Direct
 	Rent    []Rent
 	Release [][]string
-	Deposed bool   // a higher term exists
-	Resign  string // if not empty, why this term has to end; another one can go on
-	Notes   []Note
+	Deposed bool // a higher term exists
+	// HigherToken is the token that a worker has seen, if that is why.
+	HigherToken uint64
+	Resign      string // if not empty, why this term has to end; another one can go on
+	Notes       []Note
 }
 
 // Event is anything that moves the engine on.
@@ -178,6 +183,9 @@
 	Jobs   []StoredJob
 	Pages  []StoredPage
 	Images []StoredImages
+	// Restored says that workers have seen higher terms than the state service knew when
+	// the term was claimed: it was restored from an older copy.
+	Restored bool
 }
 
 // StoredImages is a page of the image log.
@@ -223,6 +231,11 @@
 		waits:         startWaits{},
 		replan:        true,
 	}
+	e.recovery = recovery.New(now, recovery.Options{ReportEvery: cfg.ReportEvery, RestoredBound: fleet.LeaseBound(cfg.Lease), FirstTerm: term <= 1, Pace: cfg.Pace})
+	if snap.Restored {
+		e.recovery.Restored()
+		e.note("the state service was restored from an older copy")
+	}
 	if cfg.WarmState {
 		e.warm = newWarmFeed()
 	}
@@ -242,6 +255,10 @@
 	return e
 }
 
+// RestoreSettled tells whether this term need not be taken for one after a restore of the state
+// service any more.
+func (e *Engine) RestoreSettled(now time.Time) bool { return e.recovery.RestoreSettled(now) }
+
 // Step applies an event and returns what is to be done about it.
 func (e *Engine) Step(now time.Time, ev Event) Effects {
 	e.out = Effects{}
@@ -304,6 +321,8 @@
 		e.laggedAt = now
 	}
 	e.lastTick = now
+	e.recovery.Pacer().Pass(now, !e.answersLate(now) && !e.writesFail)
+	e.recovery.Advance(now, !e.lastList.IsZero())
 	e.checkMachines(now)
 	e.enforceCancellations(now)
 	e.decide(now, t.Spent)
--- a/internal/core/fleet/machine.go
+++ b/internal/core/fleet/machine.go
@@ -31,6 +31,7 @@
 	// Reports and answers.
 	Session, Seq, Token uint64       // of its newest report, see Epoch
 	Expected            bool         // not heard of under this term, but the leader before was, shortly before its end
+	TokenGiven          bool         // was sent this term's token
 	Confirmed           bool         // has reported with this term's token, or never held anything of an earlier term
 	LastHeard           time.Time    // when its newest report arrived
 	LeaseBase           time.Time    // no 200 was sent to it after this
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -62,7 +62,7 @@
 	m := fleet.NewMachine(now, p.Machine, fleet.Kind{Type: p.Type, Zone: p.Zone, Spot: p.Spot}, fleet.Unheard)
 	m.LastHeard, m.LeaseBase, m.Known = now, now, true
 	e.addMachine(now, m)
-	e.unheard++
+	e.recovery.Expect(m.Name)
 	return m
 }
 
@@ -70,6 +70,7 @@
 func (e *Engine) addMachine(now time.Time, m *fleet.Machine) {
 	e.machines[m.Name] = m
 	m.Images = e.images.takeInherited(m.Name)
+	e.recovery.Discover(m.Name)
 	e.timers.schedule(m, now)
 	e.touch(m)
 }
@@ -77,15 +78,12 @@
 // moveMachine is the one place where a machine that is known here changes state. It returns
 // false if nothing changes.
 func (e *Engine) moveMachine(now time.Time, m *fleet.Machine, to fleet.MachineState) bool {
-	was := m.State()
 	if !m.Move(to) {
 		return false
 	}
-	switch {
-	case m.Expected:
-		m.Expected = false // it wasn't counted
-	case was == fleet.Unheard:
-		e.unheard--
+	m.Expected = false
+	if to == fleet.Silent || to == fleet.Releasing {
+		e.recovery.GivenUp(m.Name)
 	}
 	e.timers.schedule(m, now)
 	e.touch(m)
@@ -105,6 +103,7 @@
 	}
 	delete(e.machines, m.Name)
 	delete(e.unreachable, m)
+	e.recovery.Gone(m.Name)
 	e.images.machineGone(m.Name)
 	e.gone[m.Name] = now
 	e.warm.noteMachine(m.Name)
--- /dev/null
+++ b/internal/core/reconcile.go
@@ -0,0 +1,117 @@
+package core
+
+// How reported tasks are compared with what the records say, and taken in
+// (docs/recovery.md; package recovery decides).
+
+import (
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/recovery"
+)
+
+// observe compares a reported task with what is known of it; a is the attempt of the task that
+// is known on this machine, if any.
+func (e *Engine) observe(m *fleet.Machine, a *fleet.Attempt, token uint64, t fleet.TaskReport) recovery.ReportedTask {
+	o := recovery.ReportedTask{Exited: t.State == fleet.Exited, Done: t.State == fleet.Exited && t.Cause == fleet.CauseDone, Confirmed: token == e.term}
+	if j := e.jobs[t.Ref]; j != nil && t.Task < len(j.Tasks) {
+		o.JobOpen, o.Wanted = !j.Over(), j.Tasks[t.Task].State() != pipeline.Finished
+		o.Whole = j.Shape == pipeline.Gang && len(j.Tasks) > 1
+	}
+	if a != nil {
+		o.Inherited = a.Inherited
+		o.Holder = holderHere(a, t.Attempt)
+		return o
+	}
+	if other := e.holderElsewhere(m, fleet.Key{Ref: t.Ref, Task: t.Task}); other != nil {
+		o.Holder = recovery.Elsewhere
+		if unsent(other) {
+			o.Holder = recovery.UnsentElsewhere
+		}
+	}
+	return o
+}
+
+// unsent tells whether an attempt's start hasn't left.
+func unsent(a *fleet.Attempt) bool { return a.State() <= fleet.Recorded && !a.Inherited }
+
+// holderHere is what the attempt known on a machine is to the reported one.
+func holderHere(a *fleet.Attempt, reported uint64) recovery.Holder {
+	switch {
+	case a.Number == reported:
+		return recovery.ThisAttempt
+	case unsent(a):
+		return recovery.UnsentHere
+	case reported > a.Number:
+		return recovery.OlderHere
+	}
+	return recovery.NewerHere
+}
+
+// holderElsewhere is the attempt of a task that another machine holds, or may; nil if none.
+func (e *Engine) holderElsewhere(m *fleet.Machine, k fleet.Key) *fleet.Attempt {
+	j := e.jobs[k.Ref]
+	if j == nil || k.Task >= len(j.Tasks) || j.Tasks[k.Task].State() != pipeline.Assigned {
+		return nil
+	}
+	other := e.machines[j.Tasks[k.Task].Machine]
+	if other == nil || other == m {
+		return nil
+	}
+	a := other.Tasks[k]
+	if a == nil || a.State() == fleet.Exited {
+		return nil
+	}
+	return a
+}
+
+// withdrawStart takes back the start of a task that hasn't left, on this machine or another;
+// false if there is none.
+func (e *Engine) withdrawStart(now time.Time, m *fleet.Machine, k fleet.Key) bool {
+	a := m.Tasks[k]
+	if a == nil {
+		a = e.holderElsewhere(m, k)
+	}
+	if a == nil || !unsent(a) {
+		return false
+	}
+	e.stop(now, a.On, a, 0)
+	return true
+}
+
+// newAttempt is a reported attempt of which nothing here speaks.
+func (e *Engine) newAttempt(t fleet.TaskReport) *fleet.Attempt {
+	a := &fleet.Attempt{Key: fleet.Key{Ref: t.Ref, Task: t.Task}, Number: t.Attempt}
+	if j := e.jobs[t.Ref]; j != nil && t.Task < len(j.Tasks) {
+		a.CPUs, a.GPUs, a.MemGB, a.Image = j.CPUs, j.GPUs, j.MemGB, j.Image
+	}
+	return a
+}
+
+// adoptRunning takes an attempt up that runs and that no record names, as after a restore of
+// the state service: it is recorded from now on, and its task isn't placed again.
+func (e *Engine) adoptRunning(now time.Time, m *fleet.Machine, t fleet.TaskReport) {
+	a := e.newAttempt(t)
+	e.attach(now, m, a, t.State)
+	e.startLog.addAttempt(a)
+	e.jobs[t.Ref].Assign(t.Task, m.Name, t.Attempt)
+	e.note("unrecorded task adopted", "job", t.Ref, "task", t.Task, "machine", m.Name, "attempt", t.Attempt)
+}
+
+// adoptForeign takes in an attempt that shouldn't be there, and has it stopped.
+func (e *Engine) adoptForeign(now time.Time, m *fleet.Machine, t fleet.TaskReport) {
+	a := e.newAttempt(t)
+	e.attach(now, m, a, t.State)
+	a.RunStart = time.Time{}
+	a.Foreign = true
+	e.note("unexpected task", "job", t.Ref, "task", t.Task, "machine", m.Name, "attempt", t.Attempt)
+	e.stop(now, m, a, 0)
+}
+
+// adoptExited takes in an exit that an earlier leader hadn't dealt with.
+func (e *Engine) adoptExited(now time.Time, m *fleet.Machine, t fleet.TaskReport) {
+	a := e.newAttempt(t)
+	e.attach(now, m, a, fleet.Running) // its exit moves it on, and settles the counts
+	a.RunStart = time.Time{}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -6,6 +6,7 @@
 
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
+	"gingertally/internal/recovery"
 )
 
 // ReportIn brings a worker's report; its Reply is in the effects.
@@ -15,7 +16,7 @@
 	rep := r.Report
 	e.out.Reply = &Reply{}
 	if rep.Token > e.term {
-		e.out.Deposed = true
+		e.out.Deposed, e.out.HigherToken = true, rep.Token
 		return
 	}
 	if _, gone := e.gone[rep.Machine]; gone {
@@ -28,6 +29,11 @@
 		e.addMachine(now, m)
 		e.note("machine reports unexpectedly", "machine", m.Name, "type", m.Type, "zone", m.Zone)
 	}
+	if rep.Token == e.term && !m.TokenGiven {
+		// It has this token from a leader that the state service has forgotten.
+		e.out.Deposed, e.out.HigherToken = true, rep.Token
+		return
+	}
 	if !m.Newer(&rep) {
 		e.staleReport(now, m, &rep)
 		return // a stale copy proves nothing and must not renew the lease
@@ -43,7 +49,7 @@
 
 // reply answers the newest report of a machine with 200, at once or after a hold.
 func (e *Engine) reply(now time.Time, m *fleet.Machine, hold bool) {
-	m.AnswerHeld = hold
+	m.AnswerHeld, m.TokenGiven = hold, true
 	e.out.Reply = &Reply{OK: true, Token: e.term, Hold: hold}
 	if !hold {
 		e.out.Reply.Commands = e.commands(now, m)
@@ -128,6 +134,10 @@
 	if len(m.Tasks) > 0 {
 		e.applyUnlisted(now, m, r)
 	}
+	if r.Token > 0 {
+		e.recovery.Vouch()
+	}
+	e.recovery.Heard(m.Name, r.Token == e.term, hasForeign(m))
 	e.interruptionNotice(now, m, r.Notice)
 }
 
@@ -163,20 +173,21 @@
 		if listsAttempt(r, a) {
 			continue
 		}
-		switch {
-		case a.State() == fleet.Exited:
+		if a.State() == fleet.Exited {
 			e.drop(now, m, a)
 			e.exitNoLongerReported(a)
-		case a.Inherited:
-			if m.Confirmed {
-				e.attemptLost(now, m, a, "not reported under this term")
-			}
-		case a.State() == fleet.Sent && r.Seq > a.CommandSeq:
-			// The response with the start was answered or dropped before this
-			// report was sent; the worker never executes it later.
-			e.attemptLost(now, m, a, "start dropped")
-		case a.State() >= fleet.Fetching:
-			e.attemptLost(now, m, a, "no longer reported")
+			continue
+		}
+		finding := recovery.ClassifyUnreported(recovery.UnreportedAttempt{
+			Inherited: a.Inherited, Confirmed: m.Confirmed,
+			// The response with the start was answered or dropped before this report was
+			// sent; the worker never executes it later.
+			Answered: a.State() == fleet.Sent && r.Seq > a.CommandSeq,
+			Seen:     a.State() >= fleet.Fetching,
+		})
+		if finding.Action == recovery.ProveGone {
+			e.recovery.Found(m.Name, finding)
+			e.attemptLost(now, m, a, finding.Reason.String())
 		}
 	}
 }
@@ -189,29 +200,38 @@
 	}
 }
 
-// applyTaskReport takes in one task of a report that was sent under a token.
+// applyTaskReport takes in one task of a report that was sent under a token. What it is, and
+// what is done about it, is decided by recovery.Classify.
 func (e *Engine) applyTaskReport(now time.Time, m *fleet.Machine, token uint64, t fleet.TaskReport) {
 	k := fleet.Key{Ref: t.Ref, Task: t.Task}
-	a := m.Tasks[k]
-	if a != nil && a.Number != t.Attempt {
-		switch {
-		case a.Inherited && t.Attempt > a.Number:
-			e.attemptLost(now, m, a, "a newer attempt is there") // placed only once this one was proven gone
-		case a.State() <= fleet.Recorded && !a.Inherited:
-			e.stop(now, m, a, 0) // the start hasn't left; the old attempt goes first
-		}
-		if a = m.Tasks[k]; a != nil {
-			return
+	finding := recovery.Classify(e.observe(m, m.Tasks[k], token, t))
+	e.recovery.Found(m.Name, finding)
+	switch finding.Action {
+	case recovery.Ignore:
+		return
+	case recovery.ProveGone:
+		e.attemptLost(now, m, m.Tasks[k], finding.Reason.String())
+		e.applyTaskReport(now, m, token, t)
+		return
+	case recovery.WithdrawFirst:
+		if e.withdrawStart(now, m, k) {
+			e.applyTaskReport(now, m, token, t)
 		}
-	}
-	if a == nil {
-		if token != e.term && t.State != fleet.Exited {
-			// The start log names every attempt that isn't proven gone, and it
-			// doesn't name this one: the report is a late copy.
-			return
+		return
+	case recovery.Adopt:
+		e.adoptRunning(now, m, t)
+	case recovery.Stop:
+		e.adoptForeign(now, m, t)
+	default:
+		if m.Tasks[k] == nil {
+			e.adoptExited(now, m, t)
 		}
-		a = e.adoptAttempt(now, m, t)
 	}
+	e.updateAttempt(now, m, m.Tasks[k], t)
+}
+
+// updateAttempt takes over what a report says of an attempt.
+func (e *Engine) updateAttempt(now time.Time, m *fleet.Machine, a *fleet.Attempt, t fleet.TaskReport) {
 	a.Inherited = false
 	if t.State == fleet.Exited {
 		e.taskExited(now, m, a, t)
@@ -226,28 +246,6 @@
 	}
 }
 
-// adoptAttempt takes in a reported attempt that nothing here speaks of: an exit that an
-// earlier leader hadn't dealt with, or what should have been gone and is stopped.
-func (e *Engine) adoptAttempt(now time.Time, m *fleet.Machine, t fleet.TaskReport) *fleet.Attempt {
-	a := &fleet.Attempt{Key: fleet.Key{Ref: t.Ref, Task: t.Task}, Number: t.Attempt}
-	j := e.jobs[t.Ref]
-	if j != nil && t.Task < len(j.Tasks) {
-		a.CPUs, a.GPUs, a.MemGB, a.Image = j.CPUs, j.GPUs, j.MemGB, j.Image
-	}
-	st := t.State
-	if st == fleet.Exited {
-		st = fleet.Running // taskExited moves it on, and settles the counts
-	}
-	e.attach(now, m, a, st)
-	a.RunStart = time.Time{}
-	if t.State != fleet.Exited {
-		a.Foreign = true
-		e.note("unexpected task", "job", t.Ref, "task", t.Task, "machine", m.Name, "attempt", t.Attempt)
-		e.stop(now, m, a, 0)
-	}
-	return a
-}
-
 // interruptionNotice handles the cloud's word that it takes the machine: what can save is
 // stopped in time and goes on elsewhere; the rest may still finish.
 func (e *Engine) interruptionNotice(now time.Time, m *fleet.Machine, left time.Duration) {
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -55,6 +55,9 @@
 func (b *bench) reportAs(machine string, token, seq uint64, tasks ...fleet.TaskReport) Reply {
 	r := fleet.Report{Machine: machine, Addr: machine, Type: "big", Zone: "a", Session: 1, Seq: seq, Token: token, Notice: -1, Tasks: tasks}
 	eff := b.e.Step(b.now, ReportIn{r})
+	if eff.Deposed && token == b.e.term {
+		b.t.Fatalf("%s reports a token that it wasn't given: the test shows nothing", machine)
+	}
 	for eff.Reply.Hold {
 		b.now = b.now.Add(250 * time.Millisecond)
 		eff = b.e.Step(b.now, Collect{r})
--- a/internal/core/start_log.go
+++ b/internal/core/start_log.go
@@ -74,7 +74,7 @@
 // written. Attempts beyond that wait for the next batch.
 func (l *startLog) assignPages(maxDirty int) {
 	for i, a := range l.unpaged {
-		if a.State() != fleet.Intended {
+		if a.State() == fleet.Exited {
 			continue // withdrawn meanwhile
 		}
 		if l.open == nil || l.open.Sending || !l.open.Fits(a, l.cfg.MaxPerValue) {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -9,6 +9,7 @@
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/core/placement"
+	"gingertally/internal/recovery"
 )
 
 // Status is a leader's state as an operator wants to see it.
@@ -20,7 +21,8 @@
 	Waits    int          // how many wait in all
 	Active   int          // jobs that aren't over
 	Unstored int          // starts that wait for the state service
-	Starts   []StartWait  // how long jobs waited for their first start in this term
+	Recovery recovery.Status
+	Starts   []StartWait // how long jobs waited for their first start in this term
 }
 
 // PoolStatus counts the machines that are alike.
@@ -57,7 +59,7 @@
 
 // Status tells of machines and of jobs that wait.
 func (e *Engine) Status(now time.Time) Status {
-	s := Status{Term: e.term, Settled: e.settled(now), Pools: e.poolStatus(), Active: len(e.order), Unstored: len(e.startLog.unpaged), Starts: e.waits.list()}
+	s := Status{Term: e.term, Settled: e.settled(now), Pools: e.poolStatus(), Active: len(e.order), Unstored: len(e.startLog.unpaged), Starts: e.waits.list(), Recovery: e.recovery.Status(now)}
 	e.addWaiting(now, &s)
 	e.addHeld(now, &s)
 	return s
--- a/internal/core/warm_start.go
+++ b/internal/core/warm_start.go
@@ -195,7 +195,7 @@
 func (e *Engine) expect(m *fleet.Machine) {
 	if m.State() == fleet.Unheard && !m.Expected {
 		m.Expected = true
-		e.unheard--
+		e.recovery.Trust(m.Name, true)
 		e.touch(m)
 	}
 }
@@ -204,7 +204,7 @@
 // makes any machine silent: what was placed there goes elsewhere.
 func (e *Engine) expectNoLonger(now time.Time, m *fleet.Machine) {
 	m.Expected = false
-	e.unheard++
+	e.recovery.Trust(m.Name, false)
 	e.touch(m)
 	e.withdrawUnsentStarts(now, m)
 	e.note("expected machine has not reported", "machine", m.Name)
--- a/internal/core/write_outcome.go
+++ b/internal/core/write_outcome.go
@@ -41,6 +41,7 @@
 }
 
 func (o Written) apply(e *Engine, now time.Time) {
+	e.writesFail = !o.OK
 	for _, w := range o.Batch {
 		if o.OK {
 			e.writeSucceeded(now, w, o.Version)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,6 +116,7 @@
 		RestartLimit: operatorSettings.RestartLimit,
 		BatchEvery:   operatorSettings.BatchInterval,
 		Weights:      operatorSettings.Weights,
+		Pace:         operatorSettings.Recovery,
 		MaxPerValue:  int(state.ValueKB * 1000),
 		WriteRate:    state.WriteRPS * leaderPart,
 		RoundBudget:  roundBudget,
--- a/internal/daemon/session.go
+++ b/internal/daemon/session.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gingertally/internal/core"
+	"gingertally/internal/jobstore"
 	"gingertally/internal/leadership"
 )
 
@@ -29,6 +30,8 @@
 
 	startedAny atomic.Bool // a start was given in this term
 
+	restoreCleared bool // the note of a restore is removed; used by the tick loop alone
+
 	contactMu   sync.Mutex
 	lastContact time.Time // when a report last arrived, or the lease last became valid again
 }
@@ -129,6 +132,7 @@
 	// All earlier leases ended before the claim, so before now
 	// (docs/design.md, "Safety arguments" 1; TestOneLeader).
 	now := time.Now()
+	snapshot.Restored = s.term.Restored
 	s.engine = core.New(now, s.daemon.coreConfig, s.term.N, snapshot, newRand())
 	if warm != nil {
 		logNotes(s.engine.Step(now, *warm).Notes)
@@ -162,8 +166,9 @@
 	}
 	logNotes(effects.Notes)
 	if effects.Deposed {
-		slog.Warn("a higher token exists", "term", s.term.N)
+		slog.Warn("a higher token exists", "term", s.term.N, "token", effects.HigherToken)
 		s.daemon.elector.Deposed()
+		go s.noteRestored(effects.HigherToken)
 		return effects
 	}
 	if effects.Resign != "" {
@@ -227,10 +232,49 @@
 		}
 		s.decide()
 		s.replicate()
+		s.clearRestored()
 	}
 	return s.ctx.Err()
 }
 
+// noteRestoredTimeout bounds the write of noteRestored.
+const noteRestoredTimeout = 2 * time.Second
+
+// noteRestored notes in the state service, if this term is the newest that it knows, that a
+// worker has seen a higher one, or this one from somebody else: then it was restored from an
+// older copy, and the next leader has to know.
+func (s *leaderSession) noteRestored(token uint64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), noteRestoredTimeout)
+	defer cancel()
+	err := s.daemon.records.Put(ctx, s.term, leadership.RestoredKey, leadership.RestoredValue(token))
+	switch {
+	case err == nil:
+		slog.Error("the state service has forgotten terms: it was restored from an older copy", "term", s.term.N, "seen", token)
+	case !errors.Is(err, jobstore.ErrDeposed):
+		slog.Warn("note of a higher token", "error", err)
+	}
+}
+
+// clearRestored removes the note that the state service was restored, once what it had
+// forgotten is settled.
+func (s *leaderSession) clearRestored() {
+	if !s.term.Restored || s.restoreCleared {
+		return
+	}
+	s.mu.Lock()
+	settled := s.engine.RestoreSettled(time.Now())
+	s.mu.Unlock()
+	if !settled {
+		return
+	}
+	if err := s.daemon.records.Drop(s.ctx, s.term, leadership.RestoredKey); err != nil {
+		slog.Debug("remove the note of the restore", "error", err)
+		return
+	}
+	s.restoreCleared = true
+	slog.Info("what the state service had forgotten is settled", "term", s.term.N)
+}
+
 // replicate streams what has changed of the engine's warm state.
 func (s *leaderSession) replicate() {
 	if s.daemon.warm == nil {
--- a/internal/emulator/history.go
+++ b/internal/emulator/history.go
@@ -18,6 +18,7 @@
 	answers  map[uint64]time.Time
 	starts   map[uint64]time.Time
 	started  int
+	times    []time.Time // of the starts
 	broken   []string
 }
 
@@ -73,6 +74,7 @@
 		h.starts[term] = time.Now()
 	}
 	h.started++
+	h.times = append(h.times, time.Now())
 	key := fmt.Sprintf("%s#%d", task, attempt)
 	if earlier, used := h.attempts[key]; used {
 		h.fail("order issued twice: %s on %s and %s", key, earlier, machine)
@@ -188,3 +190,16 @@
 	}
 	return out
 }
+
+// Starts lists when tasks were started in a time.
+func (h *History) Starts(from, to time.Time) []time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []time.Time
+	for _, at := range h.times {
+		if !at.Before(from) && at.Before(to) {
+			out = append(out, at)
+		}
+	}
+	return out
+}
--- a/internal/jobstore/writes.go
+++ b/internal/jobstore/writes.go
@@ -78,6 +78,12 @@
 	return err
 }
 
+// Drop removes a value of the leader's own, under its term.
+func (j *Jobs) Drop(ctx context.Context, term leadership.Term, key string) error {
+	_, err := j.store.Commit(ctx, []wire.Condition{UnderTerm(term)}, []wire.Change{{Drop: key}})
+	return err
+}
+
 // encode puts one of the leader's writes into the store's form.
 func encode(write core.Write) (transaction, error) {
 	switch write.Kind {
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -24,6 +24,10 @@
 const (
 	HolderKey = "lead/holder"
 	TermKey   = "lead/term"
+	// RestoredKey is there from when a restore of the state service was found until the
+	// leader has settled what was forgotten. It holds the highest term that a worker has
+	// seen (RestoredValue).
+	RestoredKey = "lead/restored"
 )
 
 // Store is what leadership needs of the state service.
@@ -64,6 +68,9 @@
 type Term struct {
 	N     uint64
 	Stamp uint64
+	// Restored says that workers have seen higher terms than the state service knew: it
+	// was restored from an older copy.
+	Restored bool
 }
 
 // Hooks are called as the role changes; they must return quickly.
@@ -202,6 +209,9 @@
 	}
 }
 
+// RestoredValue is the value of RestoredKey.
+func RestoredValue(highestTerm uint64) wire.Raw { return wire.MustMarshal(termValue{highestTerm}) }
+
 // Deposed ends a term at once: somebody else has claimed a higher one.
 func (e *Elector) Deposed() {
 	e.mu.Lock()
@@ -374,14 +384,23 @@
 			return Term{}, fmt.Errorf("term: %w", err)
 		}
 	}
-	number := last.N + 1
-	revision, err := e.store.Commit(ctx,
-		[]wire.Condition{{Path: HolderKey}, {Path: TermKey, Stamp: item.Stamp}},
-		[]wire.Change{
-			{Put: HolderKey, V: wire.MustMarshal(holder{e.options.Member}), Hold: lease},
-			{Put: TermKey, V: wire.MustMarshal(termValue{number})},
-		})
-	return Term{N: number, Stamp: revision}, err
+	seen, restored, err := e.store.Get(ctx, RestoredKey)
+	if err != nil {
+		return Term{}, err
+	}
+	var highest termValue
+	if restored {
+		if err := wire.Unmarshal(seen.V, &highest); err != nil {
+			return Term{}, fmt.Errorf("highest term seen: %w", err)
+		}
+	}
+	number := max(last.N, highest.N) + 1
+	changes := []wire.Change{
+		{Put: HolderKey, V: wire.MustMarshal(holder{e.options.Member}), Hold: lease},
+		{Put: TermKey, V: wire.MustMarshal(termValue{number})},
+	}
+	revision, err := e.store.Commit(ctx, []wire.Condition{{Path: HolderKey}, {Path: TermKey, Stamp: item.Stamp}}, changes)
+	return Term{N: number, Stamp: revision, Restored: restored}, err
 }
 
 // lead renews the lease until the term is over. The lease was asked for at sent.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 
 	"gingertally/internal/core"
 	"gingertally/internal/operator/operatorpb"
+	"gingertally/internal/recovery"
 )
 
 // Settings are the operators' settings with defaults filled in.
@@ -27,6 +28,7 @@
 	Weights       core.Weights
 	Standby       Standby
 	Admission     Admission
+	Recovery      recovery.PaceOptions
 }
 
 // Admission are the settings of admission control.
@@ -54,6 +56,7 @@
 		RestartLimit: 3, BatchInterval: 2 * time.Second, RoundBudget: 60 * time.Millisecond,
 		Weights:   core.DefaultWeights(),
 		Standby:   Standby{QueueBound: 4096, SnapshotInterval: 2 * time.Second, LogBytes: 64 << 20},
+		Recovery:  recovery.PaceOptions{Initial: 10, Highest: 500},
 		Admission: Admission{Floor: 0.02, EnterBacklog: 2 * time.Minute, ExitBacklog: time.Minute, PolicyAge: 15 * time.Second},
 	}
 }
@@ -93,6 +96,8 @@
 	maxBacklog       = 24 * time.Hour
 	minPolicyAge     = 3 * time.Second
 	maxPolicyAge     = 10 * time.Minute
+	minPace          = 1
+	maxPace          = 100_000
 )
 
 func parse(path, text string, teams []string) (Settings, error) {
@@ -115,6 +120,7 @@
 	}
 	c.standby(message.Standby, &settings.Standby)
 	c.admission(message.Admission, &settings.Admission, teams)
+	c.recovery(message.Recovery, &settings.Recovery)
 	return settings, c.err
 }
 
@@ -268,3 +274,20 @@
 		c.err = fmt.Errorf("%s:%d: %s: %s", c.path, line, field, fmt.Sprintf(format, args...))
 	}
 }
+
+// recovery checks the settings of the pace of orders and takes them over.
+func (c *checker) recovery(message *operatorpb.Recovery, target *recovery.PaceOptions) {
+	if message == nil {
+		return
+	}
+	target.Enabled = message.GetPaced()
+	if message.InitialPace != nil {
+		target.Initial = c.number("initial_pace", message.GetInitialPace(), minPace, maxPace)
+	}
+	if message.HighestPace != nil {
+		target.Highest = c.number("highest_pace", message.GetHighestPace(), minPace, maxPace)
+	}
+	if target.Initial >= target.Highest {
+		c.fail("highest_pace", "must be more than initial_pace, %g, is %g", target.Initial, target.Highest)
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -100,3 +100,23 @@
 		}
 	}
 }
+
+// The settings of the pace after a takeover; off unless switched on.
+func TestRecoverySettings(t *testing.T) {
+	s, err := parse("op.txt", "recovery { paced: true initial_pace: 5 highest_pace: 50 }", nil)
+	if r := s.Recovery; err != nil || !r.Enabled || r.Initial != 5 || r.Highest != 50 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	if s, err := Load("../../deploy/recovery.txtpb", nil); err != nil || !s.Recovery.Enabled || Default().Recovery.Enabled {
+		t.Fatalf("the file that switches it on: %+v, %v", s.Recovery, err)
+	}
+	for _, c := range []struct{ text, part string }{
+		{"recovery {\n initial_pace: 0\n}", "op.txt:2: initial_pace"},
+		{"recovery {\n initial_pace: 600\n}", "highest_pace: must be more"},
+		{"recovery { pace: 1 }", "pace"},
+	} {
+		if _, err := parse("op.txt", c.text, nil); err == nil || !strings.Contains(err.Error(), c.part) {
+			t.Errorf("%s: %v", c.text, err)
+		}
+	}
+}
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -27,6 +27,10 @@
 	moves           int                       // of replicas by choice
 	takenBack       int                       // tasks of borrowed jobs that were preempted
 	newestAttempt   map[string]uint64         // of each task
+	pacedSeconds    int                       // in which a term's pace was bounded
+	pacedSince      time.Time                 // when the present one of them began
+	pacedStarts     int                       // of bulk work in it
+	pacedRate       float64                   // the highest pace in it
 	moved           map[*userJob]map[int]bool // replicas stopped by choice and not running again
 }
 
--- a/internal/simulation/election.go
+++ b/internal/simulation/election.go
@@ -89,7 +89,12 @@
 	if found && wire.Unmarshal(it.V, &tv) != nil {
 		return t, 0
 	}
-	tv.N++
+	seen, restored, _ := w.store.Get(bg, leadership.RestoredKey)
+	highest := tv
+	if restored && wire.Unmarshal(seen.V, &highest) != nil {
+		return t, 0
+	}
+	tv.N = max(tv.N, highest.N) + 1
 	rev, err := w.store.Commit(bg, []wire.Condition{{Path: leadership.TermKey, Stamp: it.Stamp}},
 		[]wire.Change{{Put: leadership.TermKey, V: wire.MustMarshal(tv)}})
 	if err != nil {
@@ -97,7 +102,7 @@
 	}
 	w.lease.id++
 	w.lease.until = w.now.Add(w.o.LeaseTTL)
-	return leadership.Term{N: tv.N, Stamp: rev}, w.lease.id
+	return leadership.Term{N: tv.N, Stamp: rev, Restored: restored}, w.lease.id
 }
 
 // storeLease is the lease under the leader's key.
@@ -126,6 +131,7 @@
 		return
 	}
 	n.term, n.lease, n.writing, n.leaseUntil, n.extensions = t, lease, false, time.Time{}, map[*node]time.Time{}
+	snap.Restored = t.Restored
 	n.eng = core.New(n.local(), n.coreConfig(), t.N, snap, rand.New(rand.NewPCG(t.N, n.w.o.Seed)))
 	n.warmStart(t, revision)
 	n.prove(sent)
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -197,12 +197,18 @@
 	eff := n.eng.Step(n.local(), ev)
 	n.w.digest.addStep(n, ev, eff)
 	n.w.check.notePreemptions(eff.Notes)
+	if n.w.o.Pace.Enabled && eff.Reply != nil && eff.Reply.OK && !eff.Reply.Hold {
+		n.w.check.paced(n, eff.Reply)
+	}
 	n.compute(ev)
 	if n.w.Trace != nil {
 		for _, x := range eff.Notes {
 			n.w.Trace(n.w.now.Sub(n.w.start), n.name, x.Text, x.Args)
 		}
 	}
+	if eff.Deposed {
+		n.noteRestored(eff.HigherToken)
+	}
 	if eff.Deposed || eff.Resign != "" {
 		n.endTerm()
 		return core.Effects{}
@@ -219,11 +225,24 @@
 	return eff
 }
 
+// noteRestored notes in the state service that it was restored from an older copy, if this
+// node's term is the newest that it knows.
+func (n *node) noteRestored(token uint64) {
+	term, view := n.term, n.storeView()
+	n.call(func() {
+		_, _ = view.Commit(bg, []wire.Condition{jobstore.UnderTerm(term)},
+			[]wire.Change{{Put: leadership.RestoredKey, V: leadership.RestoredValue(token)}}) // else the next leader finds it again
+	}, func() {})
+}
+
 func (n *node) tick() {
 	if !n.holdsLease() {
 		return
 	}
 	n.step(core.Tick{})
+	if n.term.Restored && n.eng != nil && n.eng.RestoreSettled(n.local()) && n.w.store.items[leadership.RestoredKey] != nil && !n.storeDown() && !n.cutOff() {
+		_ = n.jobs.Drop(bg, n.term, leadership.RestoredKey) // else with the next tick
+	}
 	n.write()
 	n.replicate()
 }
--- /dev/null
+++ b/internal/simulation/recovery_test.go
@@ -0,0 +1,164 @@
+package simulation
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gingertally/internal/leadership"
+	"gingertally/internal/recovery"
+	"gingertally/internal/wire"
+)
+
+// pace is the pace of orders in worlds that bound it.
+var pace = recovery.PaceOptions{Enabled: true, Initial: 3, Highest: 20}
+
+// TestRecoveryWorlds plays worlds of every family with a bounded pace at the start of each
+// term, with all their troubles and the warm standby on in every other one: besides all rules,
+// the orders of each term keep to the pace.
+func TestRecoveryWorlds(t *testing.T) {
+	from := map[string]uint64{"peace": 1, "troubles": 1000, "many fall together": 3000, "pipelines": 5000, "short leases": 7000}
+	held := 0
+	for _, f := range families {
+		for seed := range uint64(12) {
+			o := f.options(from[f.name] + seed)
+			o.Pace, o.Standby = pace, seed%2 == 0
+			w := NewWorld(o)
+			if err := w.Run(); err != nil {
+				t.Errorf("%s: %v", f.name, err)
+			}
+			held += w.check.pacedSeconds
+		}
+	}
+	if held < 400 {
+		t.Errorf("orders were paced in %d seconds only", held)
+	}
+	t.Log("seconds with a bounded pace:", held)
+}
+
+// forget restores the state service from a copy that lacks the start log and the last terms.
+// Jobs' records stay, since their users know of them.
+func (s *script) forget(terms uint64) {
+	s.note("restored from an older copy")
+	store := s.w.store
+	for key, it := range store.items {
+		switch {
+		case strings.HasPrefix(key, "s/"):
+			delete(store.items, key)
+		case key == leadership.TermKey:
+			var term struct {
+				N uint64 `cbor:"n"`
+			}
+			if wire.Unmarshal(it.v, &term) != nil {
+				s.w.check.fail("term unreadable")
+			}
+			term.N -= min(term.N, terms)
+			store.rev++
+			store.items[key] = &item{wire.MustMarshal(term), store.rev}
+			s.w.check.newest = term.N // later terms are counted anew; tokens keep them apart
+		}
+	}
+}
+
+// recoveryScenarios are the hard cases of a restart.
+var recoveryScenarios = []faultScenario{
+	{name: "all controllers end again and again, and come back in any order", length: 200 * time.Second, script: func(s *script) {
+		s.long(10, 0)
+		s.short(30, 0, 160*time.Second)
+		s.every(20*time.Second, 25*time.Second, func() { s.crashAll(10*time.Millisecond, 15*time.Second) })
+		s.every(33*time.Second, 40*time.Second, func() { s.cancelNow(2, 0) })
+	}, least: map[string]int{"all ended": 24, "leaders": 24, "confirmed": 12}},
+
+	{name: "all controllers and a third of the workers end together", length: 200 * time.Second, script: func(s *script) {
+		s.long(10, 0)
+		s.short(30, 0, 160*time.Second)
+		s.every(20*time.Second, 45*time.Second, func() {
+			s.crashAll(100*time.Millisecond, 10*time.Second)
+			for _, m := range s.some(0.33, nil) {
+				s.note("workers ended")
+				m.reboot()
+			}
+		})
+	}, least: map[string]int{"all ended": 12, "workers ended": 15}},
+
+	{name: "outages longer and shorter than the lease, workers minutes late", length: 240 * time.Second, script: func(s *script) {
+		s.long(10, 0)
+		s.short(30, 0, 160*time.Second)
+		s.every(25*time.Second, 60*time.Second, func() {
+			long := s.w.o.Lease * 3 / 2
+			if s.chance(0.5) {
+				long = s.w.o.Lease / 2
+			}
+			for _, n := range s.w.nodes {
+				s.crash(n, long+s.between(0, 3*time.Second))
+			}
+			s.note("all away")
+			s.cutMachines(s.some(0.3, nil), long+s.between(0, 2*s.w.o.Lease))
+		})
+	}, least: map[string]int{"all away": 12}},
+
+	{name: "the state service is back last, slow, and loses answers", length: 220 * time.Second, script: func(s *script) {
+		s.long(8, 0)
+		s.short(30, 0, 160*time.Second)
+		s.slow, s.lost = 300*time.Millisecond, 0.1
+		s.every(25*time.Second, 50*time.Second, func() {
+			s.outage(s.between(6*time.Second, 15*time.Second))
+			s.crashAll(10*time.Millisecond, 3*time.Second)
+		})
+	}, least: map[string]int{"all ended": 12, "outages": 12}},
+
+	{name: "the start log and the last terms are forgotten", length: 220 * time.Second, script: func(s *script) {
+		s.long(10, 0)
+		s.short(30, 0, 160*time.Second)
+		s.every(30*time.Second, 60*time.Second, func() {
+			for _, n := range s.w.nodes {
+				s.crash(n, s.between(s.w.o.LeaseTTL, 6*time.Second))
+			}
+			s.at(time.Second, func() { s.forget(3) })
+		})
+	}, least: map[string]int{"restored from an older copy": 8}},
+
+	{name: "repeated crashes in the middle of it", length: 200 * time.Second, script: func(s *script) {
+		s.long(10, 0)
+		s.short(30, 0, 160*time.Second)
+		s.every(25*time.Second, 45*time.Second, func() {
+			s.crashAll(10*time.Millisecond, time.Second)
+			for k := range 3 {
+				s.at(time.Duration(5+k*5)*time.Second, func() { s.crash(s.ruling(), s.between(10*time.Millisecond, 2*time.Second)) })
+			}
+		})
+	}, least: map[string]int{"all ended": 12, "leaders ended": 24}},
+
+	{name: "old reports arrive in the middle", noise: true, length: 200 * time.Second, script: func(s *script) {
+		s.long(10, 0)
+		s.short(30, 0, 160*time.Second)
+		s.copies, s.forNext = 0.2, true
+		s.every(25*time.Second, 35*time.Second, func() { s.crashAll(10*time.Millisecond, 5*time.Second) })
+	}, least: map[string]int{"all ended": 16}},
+}
+
+// TestRecoveryScenarios brings the hard cases of a restart about, with the pace bounded, and
+// the warm standby on in half of the worlds.
+func TestRecoveryScenarios(t *testing.T) {
+	for i := range recoveryScenarios {
+		m := recoveryScenarios[i]
+		t.Run(m.name, func(t *testing.T) {
+			notes := map[string]int{}
+			for k := range uint64(seedsOf) {
+				m.alter = func(o *Options) {
+					o.Pace, o.Standby = pace, k%2 == 0
+					if o.Drain < 300*time.Second {
+						o.Drain = 300 * time.Second
+					}
+				}
+				m.play(t, 8000+uint64(i)*100+k, notes, false)
+			}
+			for what, least := range m.least {
+				if notes[what] < least {
+					t.Errorf("%s: %d, at least %d expected", what, notes[what], least)
+				}
+			}
+			t.Log(notes)
+		})
+	}
+}
