--- a/internal/core/fleet_size_test.go
+++ b/internal/core/fleet_size_test.go
@@ -82,6 +82,12 @@
 	}
 	report(2)
 	report(3)
+	b.list(names...)
+	b.e.Step(b.now.Add(100*time.Millisecond), Tick{})
+	b.e.Step(b.now.Add(200*time.Millisecond), Tick{})
+	if s := b.e.Status(b.now).Recovery; s.State != "normal" || s.Machines["settled"] != largeFleet {
+		t.Fatalf("after all have reported within a moment: %+v", s)
+	}
 	for _, name := range names {
 		if m := b.e.machines[name]; m.State() != fleet.Live || m.Busy() != 1 {
 			t.Fatalf("%s is %v with %d tasks under the next leader", name, m.State(), m.Busy())
--- a/internal/simulation/recovery_test.go
+++ b/internal/simulation/recovery_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gingertally/internal/core/pipeline"
 	"gingertally/internal/leadership"
 	"gingertally/internal/recovery"
 	"gingertally/internal/wire"
@@ -129,6 +130,25 @@
 		})
 	}, least: map[string]int{"all ended": 12, "leaders ended": 24}},
 
+	{name: "the version in production restarts beside the new one", length: 200 * time.Second, alter: func(o *Options) { o.Roll, o.Pipelines = true, 4 }, script: func(s *script) {
+		s.long(6, 0)
+		s.short(30, 0, 160*time.Second)
+		s.every(20*time.Second, 30*time.Second, func() { s.crashAll(10*time.Millisecond, 8*time.Second) })
+	}, least: map[string]int{"all ended": 20}},
+
+	{name: "one controller is refused by the state service, services and gangs", length: 200 * time.Second, script: func(s *script) {
+		s.long(6, 0)
+		s.short(20, 0, 160*time.Second)
+		for i := range 4 {
+			s.add(time.Duration(i)*5*time.Second, pipeline.Spec{Team: "blue", Shape: pipeline.Service, Tasks: 2, CPUs: 1, MemGB: 2, Spot: true}, endless)
+			s.add(time.Duration(i)*30*time.Second, pipeline.Spec{Team: "red", Shape: pipeline.Gang, Tasks: 3, CPUs: 2, MemGB: 4, Spot: true}, 20*time.Second)
+		}
+		s.every(20*time.Second, 40*time.Second, func() {
+			s.crashAll(10*time.Millisecond, 8*time.Second)
+			s.refuse(s.w.nodes[s.rng.IntN(len(s.w.nodes))], s.between(10*time.Second, 25*time.Second))
+		})
+	}, least: map[string]int{"all ended": 12, "refused nodes": 12}},
+
 	{name: "old reports arrive in the middle", noise: true, length: 200 * time.Second, script: func(s *script) {
 		s.long(10, 0)
 		s.short(30, 0, 160*time.Second)
@@ -142,13 +162,15 @@
 func TestRecoveryScenarios(t *testing.T) {
 	for i := range recoveryScenarios {
 		m := recoveryScenarios[i]
+		alter := m.alter
 		t.Run(m.name, func(t *testing.T) {
 			notes := map[string]int{}
 			for k := range uint64(seedsOf) {
 				m.alter = func(o *Options) {
 					o.Pace, o.Standby = pace, k%2 == 0
-					if o.Drain < 300*time.Second {
-						o.Drain = 300 * time.Second
+					o.Drain = max(o.Drain, 300*time.Second)
+					if alter != nil {
+						alter(o)
 					}
 				}
 				m.play(t, 8000+uint64(i)*100+k, notes, false)
