--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -332,3 +332,35 @@
 		t.Fatalf("%+v", p.Policy())
 	}
 }
+
+// Under overload the planner's windows follow each other without a gap, also over a change of
+// leader: otherwise some jobs would never have their turn.
+func TestWindowsFollowEachOther(t *testing.T) {
+	options := PlannerOptions{Teams: map[string]placement.Team{"a": {}}, EnterBacklog: time.Minute, ExitBacklog: time.Second, Interval: time.Second, Floor: 0.02}
+	rng := rand.New(rand.NewPCG(5, 5))
+	p := NewPlanner(start, options, 1, Policy{})
+	var last Share
+	moved := 0.0
+	for second := range 300 {
+		if second == 150 {
+			p = NewPlanner(at(time.Duration(second)*time.Second), options, 2, p.Policy())
+		}
+		taken := 2 * last.Fraction * (0.5 + rng.Float64())
+		counts := []Count{{Key: Key{"a", "c", pipeline.Normal}, Offered: 20, Cost: 8 * (0.5 + rng.Float64()), Taken: taken}}
+		policy, _ := p.Plan(at(time.Duration(second+1)*time.Second), Load{Rates: Rates{CPUs: 100}, Backlog: 2 * time.Minute, Batches: []Batch{{Period: time.Second, Counts: counts}}})
+		if len(policy.Shares) != 1 {
+			t.Fatalf("second %d: %+v", second, policy)
+		}
+		next := policy.Shares[0]
+		if last.Fraction > 0 && last.Fraction < 1 {
+			if want := wrap(last.Offset + last.Fraction); math.Abs(next.Offset-want) > 1e-9 {
+				t.Fatalf("second %d: a window of %g at %g is followed by one at %g", second, last.Fraction, last.Offset, next.Offset)
+			}
+			moved += last.Fraction
+		}
+		last = next
+	}
+	if moved < 1 {
+		t.Errorf("the windows went round %g times only", moved)
+	}
+}
