--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -93,8 +94,11 @@
 	return c, nil
 }
 
-// freeAddrs finds loopback addresses on which nothing listens.
+// freeAddrs finds addresses on which nothing listens, of a loopback address of the cluster's
+// own: a controller that is away for a while finds its port free when it is back, whatever the
+// stand-ins of other clusters listen on.
 func freeAddrs(n int) ([]string, error) {
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
 	var listeners []net.Listener
 	var addrs []string
 	defer func() {
@@ -103,7 +107,7 @@
 		}
 	}()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return nil, err
 		}
