--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -52,57 +52,96 @@
 	return want, got
 }
 
+// Floor and tolerance of TestAllocate.
+const (
+	testFloor = 0.01
+	tolerance = 1e-6
+)
+
+// allocation of seeded random demands.
+type allocated struct {
+	*testing.T
+	seed      uint64
+	teams     map[string]TeamShare
+	demands   []Demand
+	given     []float64
+	want, got map[string]float64 // by team
+}
+
 // The shares of seeded random demands keep every rule of the allocation: nobody gets more
 // than it asks for, nothing is left while somebody wants it, floors and guarantees come first,
 // the higher priority of a team first, and what a hungry team gets is no less for its weight
 // than what any other has beyond its guarantee and floors.
 func TestAllocate(t *testing.T) {
-	const floor, tolerance = 0.01, 1e-6
 	for seed := range uint64(3000) {
-		rng := rand.New(rand.NewPCG(seed, 9))
-		teams, demands := randomDemands(rng)
-		given := Allocate(1, floor, teams, demands)
-		want, got := teamSums(demands, given)
-		total := 0.0
-		for i, d := range demands {
-			total += d.Rate
-			if given[i] > d.Rate+tolerance || given[i] < min(floor, d.Rate)-tolerance {
-				t.Fatalf("seed %d: %+v is given %g", seed, d, given[i])
-			}
+		a := &allocated{T: t, seed: seed}
+		a.teams, a.demands = randomDemands(rand.New(rand.NewPCG(seed, 9)))
+		a.given = Allocate(1, testFloor, a.teams, a.demands)
+		a.want, a.got = teamSums(a.demands, a.given)
+		a.checkAmounts()
+		a.checkGuarantees()
+		a.checkWeights()
+		a.checkPriorities()
+	}
+}
+
+// checkAmounts: nobody gets more than it asks for or less than its floor, and nothing is left.
+func (a *allocated) checkAmounts() {
+	a.Helper()
+	total := 0.0
+	for i, d := range a.demands {
+		total += d.Rate
+		if a.given[i] > d.Rate+tolerance || a.given[i] < min(testFloor, d.Rate)-tolerance {
+			a.Fatalf("seed %d: %+v is given %g", a.seed, d, a.given[i])
 		}
-		if s := sum(given); s > 1+tolerance || s < min(1, total)-tolerance {
-			t.Fatalf("seed %d: %g given of a demand of %g", seed, s, total)
+	}
+	if s := sum(a.given); s > 1+tolerance || s < min(1, total)-tolerance {
+		a.Fatalf("seed %d: %g given of a demand of %g", a.seed, s, total)
+	}
+}
+
+// checkGuarantees: all are kept if they fit together with the floors.
+func (a *allocated) checkGuarantees() {
+	a.Helper()
+	floors := map[string]float64{}
+	for _, d := range a.demands {
+		floors[d.Team] += min(testFloor, d.Rate)
+	}
+	promised := 0.0
+	for name, share := range a.teams {
+		promised += max(floors[name], min(share.Guarantee, a.want[name]))
+	}
+	for name, share := range a.teams {
+		if promised <= 1 && a.got[name] < min(share.Guarantee, a.want[name])-tolerance {
+			a.Fatalf("seed %d: %s is given %g of its guarantee %g", a.seed, name, a.got[name], share.Guarantee)
 		}
-		promised := 0.0 // floors and guarantees, which all have to be kept if they fit
-		for name, share := range teams {
-			floors := 0.0
-			for _, d := range demands {
-				if d.Team == name {
-					floors += min(floor, d.Rate)
-				}
-			}
-			promised += max(floors, min(share.Guarantee, want[name]))
+	}
+}
+
+// checkWeights: no team has more for its weight than a hungry one, but by guarantee and floors.
+func (a *allocated) checkWeights() {
+	a.Helper()
+	for name, share := range a.teams {
+		if a.want[name]-a.got[name] < tolerance {
+			continue // it has all it wants
 		}
-		for name, share := range teams {
-			if promised <= 1 && got[name] < min(share.Guarantee, want[name])-tolerance {
-				t.Fatalf("seed %d: %s is given %g of its guarantee %g", seed, name, got[name], share.Guarantee)
-			}
-			if want[name]-got[name] < tolerance {
-				continue // it has all it wants
-			}
-			for other, o := range teams {
-				floors := floor * 4
-				beyond := got[other] - max(o.Guarantee, floors)
-				if beyond > tolerance && got[other]/o.Weight > got[name]/share.Weight+tolerance {
-					t.Fatalf("seed %d: %s has %g for its weight, hungry %s %g", seed, other, got[other]/o.Weight, name, got[name]/share.Weight)
-				}
+		for other, o := range a.teams {
+			beyond := a.got[other] - max(o.Guarantee, 4*testFloor)
+			if beyond > tolerance && a.got[other]/o.Weight > a.got[name]/share.Weight+tolerance {
+				a.Fatalf("seed %d: %s has %g for its weight, hungry %s %g", a.seed, other, a.got[other]/o.Weight, name, a.got[name]/share.Weight)
 			}
 		}
-		for i, a := range demands {
-			for k, b := range demands {
-				if a.Team == b.Team && a.Priority < b.Priority && a.Rate-given[i] > tolerance && given[k] > floor+tolerance {
-					t.Fatalf("seed %d: %+v is given %g while %+v lacks some", seed, b, given[k], a)
-				}
+	}
+}
+
+// checkPriorities: within a team nothing but floors goes to a lower priority while a higher
+// one lacks some.
+func (a *allocated) checkPriorities() {
+	a.Helper()
+	for i, x := range a.demands {
+		for k, y := range a.demands {
+			if x.Team == y.Team && x.Priority < y.Priority && x.Rate-a.given[i] > tolerance && a.given[k] > testFloor+tolerance {
+				a.Fatalf("seed %d: %+v is given %g while %+v lacks some", a.seed, y, a.given[k], x)
 			}
 		}
 	}
@@ -118,36 +157,48 @@
 // into 1, its turn lasts three policies, and Retry-After points at it as long as the fraction
 // stays.
 func TestEveryJobHasItsTurn(t *testing.T) {
-	k := Key{"a", "c", pipeline.Normal}
 	for _, fraction := range []float64{0.3, 0.1, 0.0137, 0.002} {
 		bound := int(math.Ceil(1/fraction)) + 1
 		for i := range 40 {
 			job := fmt.Sprint("j-", i)
-			admitted, offset := 0, float64(i)/40
-			first, promised := -1, -1
-			for n := range bound {
-				p := overloaded(uint64(n+1), fraction, offset)
-				d := p.Decide(k, job)
-				if d.Admitted {
-					admitted++
-					if first < 0 {
-						first = n
-					}
-				} else if promised < 0 && first < 0 && d.RetryAfter < maxRetryAfter {
-					promised = n + int(d.RetryAfter/time.Second)
-				}
-				offset = wrap(offset + fraction)
+			turns := turnsOf(job, fraction, float64(i)/40, bound)
+			if turns.first < 0 || turns.admitted < windowSpan-1 {
+				t.Fatalf("fraction %g: %s had %d turns in %d policies", fraction, job, turns.admitted, bound)
 			}
-			if first < 0 || admitted < windowSpan-1 {
-				t.Fatalf("fraction %g: %s had %d turns in %d policies", fraction, job, admitted, bound)
-			}
-			if promised >= 0 && (first < promised-1 || first > promised+1) {
-				t.Fatalf("fraction %g: %s was told to come at policy %d, and had its turn at %d", fraction, job, promised, first)
+			if turns.promised >= 0 && (turns.first < turns.promised-1 || turns.first > turns.promised+1) {
+				t.Fatalf("fraction %g: %s was told to come at policy %d, and had its turn at %d", fraction, job, turns.promised, turns.first)
 			}
 		}
 	}
 }
 
+// turns are the policies under which a job was admitted.
+type turns struct {
+	admitted int // how many
+	first    int // the first of them; -1: none
+	promised int // the one that Retry-After first pointed at; -1: none
+}
+
+// turnsOf has a job ask under so many policies with one fraction.
+func turnsOf(job string, fraction, offset float64, policies int) turns {
+	t := turns{first: -1, promised: -1}
+	for n := range policies {
+		p := overloaded(uint64(n+1), fraction, offset)
+		d := p.Decide(Key{"a", "c", pipeline.Normal}, job)
+		switch {
+		case d.Admitted && t.first < 0:
+			t.first = n
+			t.admitted++
+		case d.Admitted:
+			t.admitted++
+		case t.promised < 0 && t.first < 0 && d.RetryAfter < maxRetryAfter:
+			t.promised = n + int(d.RetryAfter/time.Second)
+		}
+		offset = wrap(offset + fraction)
+	}
+	return t
+}
+
 // The fraction is about the part of the jobs that a policy admits, whatever their names.
 func TestFractionOfJobs(t *testing.T) {
 	p := overloaded(1, 0.05, 0.9)
--- a/internal/core/fleet_size_test.go
+++ b/internal/core/fleet_size_test.go
@@ -88,6 +88,12 @@
 	if s := b.e.Status(b.now).Recovery; s.State != "normal" || s.Machines["settled"] != largeFleet {
 		t.Fatalf("after all have reported within a moment: %+v", s)
 	}
+	checkTakenOver(t, b, names)
+}
+
+// checkTakenOver demands that a leader knows each machine with its one task.
+func checkTakenOver(t *testing.T, b *bench, names []string) {
+	t.Helper()
 	for _, name := range names {
 		if m := b.e.machines[name]; m.State() != fleet.Live || m.Busy() != 1 {
 			t.Fatalf("%s is %v with %d tasks under the next leader", name, m.State(), m.Busy())
--- a/internal/core/pipeline/graph_test.go
+++ b/internal/core/pipeline/graph_test.go
@@ -51,42 +51,20 @@
 	return best
 }
 
+// check compares every job with what brute force says of it.
 func (l *lineOf) check(cancelled, done map[int]bool) {
 	for i, j := range l.jobs {
 		if !l.known[i] {
 			continue
 		}
-		want := Active
-		for k := range l.jobs[:i] {
-			if l.needed(i, k) && cancelled[k] {
-				want = Cancelled
-			}
-		}
-		for _, k := range l.needs[i] {
-			if want == Active && !done[k] {
-				want = Held
-			}
-		}
+		want := l.phaseOf(i, cancelled, done)
 		if j.Phase() != want && !j.Over() || want == Cancelled && j.Phase() != Cancelled {
 			l.t.Fatalf("%s is in phase %d, want %d", j.Ref, j.Phase(), want)
 		}
 		if j.Over() {
 			continue
 		}
-		urgency := j.Priority
-		var by time.Time
-		for k := i + 1; k < len(l.jobs); k++ {
-			c := l.jobs[k]
-			if !l.known[k] || c.Over() || !l.needed(k, i) {
-				continue
-			}
-			urgency = min(urgency, c.Priority)
-			if way := l.longest(i, k); c.Deadline > 0 && way >= 0 {
-				if at := c.Submitted.Add(c.Deadline - way); by.IsZero() || at.Before(by) {
-					by = at
-				}
-			}
-		}
+		urgency, by := l.wantedOf(i)
 		if j.Urgency != urgency {
 			l.t.Fatalf("%s has urgency %d, want %d", j.Ref, j.Urgency, urgency)
 		}
@@ -96,6 +74,41 @@
 	}
 }
 
+// phaseOf is the phase that a job has to be in, unless it is over.
+func (l *lineOf) phaseOf(i int, cancelled, done map[int]bool) Phase {
+	for k := range l.jobs[:i] {
+		if l.needed(i, k) && cancelled[k] {
+			return Cancelled
+		}
+	}
+	for _, k := range l.needs[i] {
+		if !done[k] {
+			return Held
+		}
+	}
+	return Active
+}
+
+// wantedOf is how urgent a job is for its dependents' sake, and when it has to end for them.
+func (l *lineOf) wantedOf(i int) (urgency Priority, by time.Time) {
+	urgency = l.jobs[i].Priority
+	for k := i + 1; k < len(l.jobs); k++ {
+		c := l.jobs[k]
+		if !l.known[k] || c.Over() || !l.needed(k, i) {
+			continue
+		}
+		urgency = min(urgency, c.Priority)
+		way := l.longest(i, k)
+		if c.Deadline == 0 || way < 0 {
+			continue
+		}
+		if at := c.Submitted.Add(c.Deadline - way); by.IsZero() || at.Before(by) {
+			by = at
+		}
+	}
+	return urgency, by
+}
+
 // TestGraph: whatever the order in which jobs come, end and are cancelled, a job is
 // ready exactly when all its dependencies are done, is cancelled exactly when one of them
 // is, and is as urgent as its most urgent dependent.
--- a/internal/core/pipeline/pipeline_test.go
+++ b/internal/core/pipeline/pipeline_test.go
@@ -28,31 +28,38 @@
 					j.Finish(i)
 				}
 			}
-			chunks := map[int][]int{}
-			for c := 0; c*ChunkTasks < n; c++ {
-				chunks[c] = j.Chunk(c)
-				if len(chunks[c]) > ChunkTasks+1 {
-					t.Fatalf("chunk of %d runs", len(chunks[c]))
-				}
-			}
-			rec := j.Record(1 << 20)
-			delete(chunks, 0)
-			k, err := NewJob(rec, 2, chunks)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for i := range j.Tasks {
-				if j.Tasks[i].State() != k.Tasks[i].State() {
-					t.Fatalf("%d tasks: task %d differs", n, i)
-				}
-			}
-			if k.Dirty() || !reflect.DeepEqual(rec.Done, k.Record(1<<20).Done) {
-				t.Fatalf("%d tasks: reading changes the record", n)
-			}
+			checkReadAgain(t, j)
 		}
 	}
 }
 
+// checkReadAgain writes a job's done ranges and reads them again.
+func checkReadAgain(t *testing.T, j *Job) {
+	t.Helper()
+	n := len(j.Tasks)
+	chunks := map[int][]int{}
+	for c := 0; c*ChunkTasks < n; c++ {
+		chunks[c] = j.Chunk(c)
+		if len(chunks[c]) > ChunkTasks+1 {
+			t.Fatalf("chunk of %d runs", len(chunks[c]))
+		}
+	}
+	rec := j.Record(1 << 20)
+	delete(chunks, 0)
+	k, err := NewJob(rec, 2, chunks)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range j.Tasks {
+		if j.Tasks[i].State() != k.Tasks[i].State() {
+			t.Fatalf("%d tasks: task %d differs", n, i)
+		}
+	}
+	if k.Dirty() || !reflect.DeepEqual(rec.Done, k.Record(1<<20).Done) {
+		t.Fatalf("%d tasks: reading changes the record", n)
+	}
+}
+
 // TestCancelAgainstDone: the store decides which came first.
 func TestCancelAgainstDone(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/core/warm_start_test.go
+++ b/internal/core/warm_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -207,49 +208,58 @@
 	}
 	for range 200 {
 		m := machines[rng.IntN(len(machines))]
-		for i := range tasks[m] {
-			if tasks[m][i].State == fleet.Running && rng.IntN(6) == 0 {
-				tasks[m][i].State, tasks[m][i].Cause = fleet.Exited, fleet.CauseError
-			}
-		}
+		someFail(rng, tasks[m])
 		for _, c := range b.report(m, 2, tasks[m]...).Commands {
-			switch c.Op {
-			case fleet.Start:
-				tasks[m] = append(tasks[m], running(c))
-			case fleet.Forget:
-				for i := range tasks[m] {
-					if tasks[m][i].Attempt == c.Attempt {
-						tasks[m] = append(tasks[m][:i:i], tasks[m][i+1:]...)
-						break
-					}
-				}
-			}
+			tasks[m] = obeyed(tasks[m], c)
 		}
 		b.pass(400*time.Millisecond, true)
 		state.take(b.e, b.now)
-		for name := range b.e.machines {
-			got := state[WarmKey{Kind: WarmMachineKind, Name: name}].Machine
-			want := b.e.warmMachine(name)
-			if got == nil || got.Sick != want.Sick || got.Draining != want.Draining || got.Errors != want.Errors || got.Reporting != want.Reporting || len(got.Images) != len(want.Images) {
-				t.Fatalf("%s: replicated %+v, is %+v", name, got, want)
-			}
+		state.compare(t, b.e)
+	}
+}
+
+// someFail has tasks fail by chance.
+func someFail(rng *rand.Rand, tasks []fleet.TaskReport) {
+	for i := range tasks {
+		if tasks[i].State == fleet.Running && rng.IntN(6) == 0 {
+			tasks[i].State, tasks[i].Cause = fleet.Exited, fleet.CauseError
 		}
-		attempts := 0
-		for key, r := range state {
-			if r.Attempt == nil {
-				continue
-			}
-			attempts++
-			if w := b.e.warmAttempt(fleet.Key{Ref: key.Name, Task: key.Task}); w == nil || *w != *r.Attempt {
-				t.Fatalf("%+v: replicated %+v, is %+v", key, r.Attempt, w)
-			}
+	}
+}
+
+// obeyed is a worker's tasks after a command.
+func obeyed(tasks []fleet.TaskReport, c fleet.Command) []fleet.TaskReport {
+	switch c.Op {
+	case fleet.Start:
+		return append(tasks, running(c))
+	case fleet.Forget:
+		return slices.DeleteFunc(tasks, func(r fleet.TaskReport) bool { return r.Attempt == c.Attempt })
+	}
+	return tasks
+}
+
+// compare holds the replicated records against what the engine would tell of itself now.
+func (w warmTable) compare(t *testing.T, e *Engine) {
+	t.Helper()
+	busy, attempts := 0, 0
+	for name, m := range e.machines {
+		busy += m.Busy()
+		got := w[WarmKey{Kind: WarmMachineKind, Name: name}].Machine
+		want := e.warmMachine(name)
+		if got == nil || got.Sick != want.Sick || got.Draining != want.Draining || got.Errors != want.Errors || got.Reporting != want.Reporting || len(got.Images) != len(want.Images) {
+			t.Fatalf("%s: replicated %+v, is %+v", name, got, want)
 		}
-		busy := 0
-		for _, m := range b.e.machines {
-			busy += m.Busy()
+	}
+	for key, r := range w {
+		if r.Attempt == nil {
+			continue
 		}
-		if attempts != busy {
-			t.Fatalf("%d attempts replicated, %d are on machines", attempts, busy)
+		attempts++
+		if now := e.warmAttempt(fleet.Key{Ref: key.Name, Task: key.Task}); now == nil || *now != *r.Attempt {
+			t.Fatalf("%+v: replicated %+v, is %+v", key, r.Attempt, now)
 		}
 	}
+	if attempts != busy {
+		t.Fatalf("%d attempts replicated, %d are on machines", attempts, busy)
+	}
 }
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -196,41 +196,14 @@
 		for step := range 400 {
 			now := at(time.Duration(step) * 100 * time.Millisecond)
 			name := fmt.Sprint("m-", rng.IntN(12))
-			switch rng.IntN(7) {
-			case 0:
-				if step < 20 {
-					r.Expect(name)
-				}
-			case 1:
-				r.Discover(name)
-			case 2:
-				r.Heard(name, rng.IntN(2) == 0, rng.IntN(5) == 0)
-			case 3:
-				r.GivenUp(name)
-			case 4:
-				r.Gone(name)
-			case 5:
-				r.Trust(name, rng.IntN(2) == 0)
-			case 6:
-				r.Found(name, Finding{Reason(rng.IntN(int(reasons))), Stop})
-			}
+			somethingHappens(rng, r, name, step < 20)
 			r.Pacer().Pass(now, true)
 			r.Advance(now, true)
 			if r.State() < last {
 				t.Fatalf("seed %d: from %v back to %v", seed, last, r.State())
 			}
 			last = r.State()
-			counts := [machineStates]int{}
-			trusted := 0
-			for _, m := range r.machines {
-				counts[m.state]++
-				if m.trusted {
-					trusted++
-				}
-			}
-			if counts != r.counts || trusted != r.trusted {
-				t.Fatalf("seed %d: counted %v and %d, are %v and %d", seed, r.counts, r.trusted, counts, trusted)
-			}
+			checkCounts(t, r)
 		}
 		if last == Collecting {
 			t.Fatalf("seed %d: still collecting after 40 s", seed)
@@ -238,6 +211,45 @@
 	}
 }
 
+// somethingHappens tells a reconciler something by chance of a machine. Records name machines
+// only early on.
+func somethingHappens(rng *rand.Rand, r *Reconciler, name string, early bool) {
+	switch rng.IntN(7) {
+	case 0:
+		if early {
+			r.Expect(name)
+		}
+	case 1:
+		r.Discover(name)
+	case 2:
+		r.Heard(name, rng.IntN(2) == 0, rng.IntN(5) == 0)
+	case 3:
+		r.GivenUp(name)
+	case 4:
+		r.Gone(name)
+	case 5:
+		r.Trust(name, rng.IntN(2) == 0)
+	case 6:
+		r.Found(name, Finding{Reason(rng.IntN(int(reasons))), Stop})
+	}
+}
+
+// checkCounts compares the counts with the machines.
+func checkCounts(t *testing.T, r *Reconciler) {
+	t.Helper()
+	counts := [machineStates]int{}
+	trusted := 0
+	for _, m := range r.machines {
+		counts[m.state]++
+		if m.trusted {
+			trusted++
+		}
+	}
+	if counts != r.counts || trusted != r.trusted {
+		t.Fatalf("counted %v and %d, are %v and %d", r.counts, r.trusted, counts, trusted)
+	}
+}
+
 // The pace begins low, rises while all keep up, falls when they don't, and then costs nothing
 // any more. Urgent starts are never held back.
 func TestPace(t *testing.T) {
--- a/internal/standby/stream_test.go
+++ b/internal/standby/stream_test.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// somethingHappens lets time pass, and has the leader and the connection change by chance.
+func (p *pair) somethingHappens() {
+	p.now = p.now.Add(time.Duration(p.rng.IntN(400)) * time.Millisecond)
+	p.change(p.rng.IntN(12))
+	if p.rng.IntN(30) == 0 {
+		p.change(testOptions().QueueBound + 5) // more than is kept for one that is behind
+	}
+	if p.rng.IntN(40) == 0 {
+		p.lead(p.publisher.term + 1)
+	}
+	if p.rng.IntN(40) == 0 { // the connection is made anew
+		p.publisher.Leave("b")
+		p.publisher.Follow("b", p.follower.Position())
+	}
+}
+
 // TestLossyStream plays seeded streams that are cut, doubled and reordered, with changes of
 // term: whatever comes, the copy is the leader's state at its position or none, and once the
 // stream is sound again it catches up. Snapshots are paced.
@@ -129,18 +145,7 @@
 		p := newPair(t, seed)
 		p.stream.cut, p.stream.mixed = float64(seed%4)/10, seed%2 == 0
 		for range 120 {
-			p.now = p.now.Add(time.Duration(p.rng.IntN(400)) * time.Millisecond)
-			p.change(p.rng.IntN(12))
-			if p.rng.IntN(30) == 0 {
-				p.change(testOptions().QueueBound + 5) // more than is kept for one that is behind
-			}
-			if p.rng.IntN(40) == 0 {
-				p.lead(p.publisher.term + 1)
-			}
-			if p.rng.IntN(40) == 0 { // the connection is made anew
-				p.publisher.Leave("b")
-				p.publisher.Follow("b", p.follower.Position())
-			}
+			p.somethingHappens()
 			p.pump()
 		}
 		lost += p.follower.Counts().Gaps
