--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -34,6 +34,7 @@
 	Weights      Weights              // of money against lateness
 	Debug        bool                 // notes at debug level are wanted
 	Pace         recovery.PaceOptions // of orders at the start of a term
+	Admission    bool                 // the backlog is to be measured, see Load
 	WarmState    bool                 // changes of the warm state are to be noted, see WarmChanges
 }
 
--- a/internal/core/priority_order.go
+++ b/internal/core/priority_order.go
@@ -22,7 +22,9 @@
 	for _, j := range e.order {
 		if j.Phase() == pipeline.Active && j.Count(pipeline.Waiting) > 0 && !e.cancelHolds(now, j.Ref) {
 			out = e.appendEntries(out, now, j, machines)
-			e.backlog = e.backlog.Add(e.waitingWork(j))
+			if e.cfg.Admission {
+				e.backlog = e.backlog.Add(e.waitingWork(j))
+			}
 		}
 	}
 	sort.SliceStable(out, func(i, k int) bool { return out[i].before(&out[k]) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	d.warm = newStandbyNode(settings.Member, operatorSettings.Standby, d.coreConfig.ReportEvery, d.metrics.standby)
-	d.coreConfig.WarmState = d.warm != nil
+	d.coreConfig.WarmState, d.coreConfig.Admission = d.warm != nil, operatorSettings.Admission.Enabled
 	state := settings.Params.State.Lowest()
 	// Claims wait for nobody's part of the rates.
 	d.elector = leadership.New(d.store.Part(state.RPS, state.WriteRPS), leadership.Options{
--- a/internal/recovery/reconciler.go
+++ b/internal/recovery/reconciler.go
@@ -196,7 +196,10 @@
 // Found counts a finding about a machine.
 func (r *Reconciler) Found(name string, f Finding) {
 	r.found[f.Reason]++
-	if m := r.machines[name]; m != nil && f.Action != Keep && r.state != Normal {
+	if f.Action == Keep || r.state == Normal {
+		return // mostly
+	}
+	if m := r.machines[name]; m != nil {
 		m.why, m.differs = f.Reason, true
 	}
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -220,5 +220,5 @@
 	w := n.w
 	return core.Config{Teams: w.teams, Debug: w.Trace != nil, ReportEvery: w.o.Report, Lease: w.o.Lease,
 		CancelWithin: w.o.Cancel, GangWait: gangWait, ListLag: 2 * time.Second, RestartLimit: 3,
-		BatchEvery: 2 * time.Second, MaxPerValue: n.limits().ValueBytes, RoundBudget: 200, Weights: core.DefaultWeights(), WarmState: n.standbyOn(), Pace: w.o.Pace}
+		BatchEvery: 2 * time.Second, MaxPerValue: n.limits().ValueBytes, RoundBudget: 200, Weights: core.DefaultWeights(), WarmState: n.standbyOn(), Pace: w.o.Pace, Admission: w.o.Admission}
 }
