--- a/internal/simulation/random_test.go
+++ b/internal/simulation/random_test.go
@@ -91,6 +91,27 @@
 	}
 }
 
+// optionsByVariables are the options of a world of the kind that the environment names (README).
+func optionsByVariables(seed uint64) Options {
+	set := func(variable string) bool { return os.Getenv("SIMULATION_"+variable) != "" }
+	o := options(seed, true)
+	o.CorrelatedFailures = set("CORRELATED_FAILURES")
+	if set("PIPELINES") {
+		o = pipelines(seed)
+	}
+	if set("SHORT_LEASE") {
+		o = shortLeases(seed)
+	}
+	o.Standby, o.Admission = set("STANDBY"), set("ADMISSION")
+	if set("PACE") {
+		o.Pace = pace
+	}
+	if o.Admission {
+		o.Drain *= 2
+	}
+	return o
+}
+
 // TestSeed plays the one world of TestTroubles that SIMULATION_SEED names, and
 // logs what its controllers say.
 func TestSeed(t *testing.T) {
@@ -98,17 +119,10 @@
 	if err != nil {
 		t.Skip("SIMULATION_SEED names no seed")
 	}
-	o := options(seed, true)
-	if o.CorrelatedFailures = os.Getenv("SIMULATION_CORRELATED_FAILURES") != ""; o.CorrelatedFailures {
+	o := optionsByVariables(seed)
+	if o.CorrelatedFailures {
 		o.Jobs = 20
 	}
-	if os.Getenv("SIMULATION_PIPELINES") != "" {
-		o = pipelines(seed)
-	}
-	if os.Getenv("SIMULATION_SHORT_LEASE") != "" {
-		o = shortLeases(seed)
-	}
-	o.Standby = os.Getenv("SIMULATION_STANDBY") != ""
 	w := NewWorld(o)
 	w.Trace = func(at time.Duration, node, text string, args []any) {
 		t.Log(at.Seconds(), node, text, args)
@@ -128,15 +142,7 @@
 	for seed := range n {
 		t.Run(strconv.FormatUint(10_000+seed, 10), func(t *testing.T) {
 			t.Parallel()
-			o := options(10_000+seed, true)
-			o.CorrelatedFailures = os.Getenv("SIMULATION_CORRELATED_FAILURES") != ""
-			if os.Getenv("SIMULATION_PIPELINES") != "" {
-				o = pipelines(10_000 + seed)
-			}
-			if os.Getenv("SIMULATION_SHORT_LEASE") != "" {
-				o = shortLeases(10_000 + seed)
-			}
-			o.Standby = os.Getenv("SIMULATION_STANDBY") != ""
+			o := optionsByVariables(10_000 + seed)
 			if err := NewWorld(o).Run(); err != nil {
 				t.Error(err)
 			}
