Standby: the stream ends with the leader's term

Cause: the server waited for the follower's next position before it ended the call, while the follower waited for the call's end: where the same node led again, its followers heard nothing of the new term until another one led.

Change: the call ends with the sending.

Result: TestStreamEndsWithTheTerm, which fails without.

--- a/internal/standbyrpc/server.go
+++ b/internal/standbyrpc/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -52,18 +51,21 @@
 		return status.Error(codes.FailedPrecondition, err.Error())
 	}
 	defer s.source.Leave(first.From, wake)
-	group, ctx := errgroup.WithContext(stream.Context())
-	group.Go(func() error { return s.receive(stream) })
-	group.Go(func() error { return s.send(ctx, stream, first.From, wake) })
-	return group.Wait()
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go func() {
+		defer cancel()
+		s.receive(stream) // ends at the latest once this call has returned
+	}()
+	return s.send(ctx, stream, first.From, wake)
 }
 
-// receive takes in the follower's positions.
-func (s *server) receive(stream standbypb.Standby_FollowServer) error {
+// receive takes in the follower's positions until the stream ends.
+func (s *server) receive(stream standbypb.Standby_FollowServer) {
 	for {
 		request, err := stream.Recv()
 		if err != nil {
-			return err
+			return
 		}
 		s.source.Acknowledge(request.From, standby.Position{Term: request.Term, Sequence: request.Sequence}, request.Resync)
 	}
--- a/internal/standbyrpc/standbyrpc_test.go
+++ b/internal/standbyrpc/standbyrpc_test.go
@@ -18,7 +18,7 @@
 // source is a leader, or, without a publisher, a node that doesn't lead.
 type source struct {
 	mu        sync.Mutex
-	publisher *standby.Publisher
+	publisher *standby.Publisher // nil: it doesn't lead
 	wake      chan struct{}
 	left      int
 }
@@ -51,11 +51,13 @@
 func (s *source) Acknowledge(follower string, at standby.Position, resync bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if resync {
+	switch {
+	case s.publisher == nil:
+	case resync:
 		s.publisher.Follow(follower, at)
-		return
+	default:
+		s.publisher.Acknowledge(follower, at)
 	}
-	s.publisher.Acknowledge(follower, at)
 }
 
 // Leave counts followers that are gone.
@@ -185,3 +187,36 @@
 		t.Errorf("an unknown kind became %v", got.Kind)
 	}
 }
+
+// The stream ends with the leader's term, though nothing closes the connection: the follower
+// must be free to follow the next term, also of the same node. It once waited for good.
+func TestStreamEndsWithTheTerm(t *testing.T) {
+	s := leading()
+	connection := serve(t, s)
+	s.change(0, 10)
+	over := make(chan error, 1)
+	heard := make(chan struct{}, 1000)
+	replica := standby.NewReplica()
+	go func() {
+		over <- Follow(t.Context(), connection, "b", standby.Position{}, func(f standby.Frame) Received {
+			replica.Apply(f)
+			heard <- struct{}{}
+			return Received{At: replica.Position()}
+		})
+	}()
+	<-heard
+	s.mu.Lock()
+	s.publisher = nil
+	s.mu.Unlock()
+	select {
+	case err := <-over:
+		if err == nil || errors.Is(err, ErrUnsupported) {
+			t.Fatalf("the stream ended with %v", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the stream goes on after the term")
+	}
+	if s.left != 1 {
+		t.Fatalf("the follower was let go %d times", s.left)
+	}
+}
