--- a/internal/leadership/extension_test.go
+++ b/internal/leadership/extension_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,9 +29,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		silent := false
+		var silent atomic.Bool
 		tr := startWithPeers(ctx, 3*time.Second, func(ctx context.Context, tr *trio, from, to string) bool {
-			return !silent && extended(ctx, tr, from, to)
+			return !silent.Load() && extended(ctx, tr, from, to)
 		})
 		tr.watch(t, 3*time.Second)
 		first := tr.holder(t)
@@ -41,9 +42,9 @@
 				t.Fatalf("node %d leads in an outage that all see, %d before", who, first)
 			}
 		}
-		silent = true
+		silent.Store(true)
 		time.Sleep(ExtensionFor)
-		silent = false // too late: the lease has lapsed
+		silent.Store(false) // too late: the lease has lapsed
 		tr.watch(t, 5*time.Second)
 		if who := tr.holder(t); who >= 0 {
 			t.Fatalf("node %d holds a lease that had lapsed", who)
--- a/internal/standbyrpc/standbyrpc_test.go
+++ b/internal/standbyrpc/standbyrpc_test.go
@@ -216,6 +216,8 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("the stream goes on after the term")
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.left != 1 {
 		t.Fatalf("the follower was let go %d times", s.left)
 	}
