--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -334,11 +334,10 @@
 	p := NewPlanner(start, options, 1, Policy{})
 	now := start
 	stored := 0
-	exhausted := true
 	plan := func(backlog time.Duration, cost float64) Policy {
 		now = now.Add(time.Second)
 		count := Count{Key: Key{"a", "c", pipeline.Normal}, Offered: 1, Admitted: 1, Cost: cost, Taken: cost * 0.3}
-		policy, changed := p.Plan(now, Load{Rates: Rates{CPUs: 100, Jobs: 50}, Backlog: backlog, Exhausted: exhausted, Batches: []Batch{{Period: time.Second, Counts: []Count{count}}}})
+		policy, changed := p.Plan(now, Load{Rates: Rates{CPUs: 100, Jobs: 50}, Backlog: backlog, Batches: []Batch{{Period: time.Second, Counts: []Count{count}}}})
 		if changed {
 			stored++
 		}
@@ -356,11 +355,6 @@
 	if policy := p.Policy(); policy.Overloaded() {
 		t.Fatal("overloaded below the mark")
 	}
-	exhausted = false
-	if policy := plan(200*time.Second, 3); policy.Overloaded() {
-		t.Fatal("overloaded although more machines can be had")
-	}
-	exhausted = true
 	if first, second := plan(121*time.Second, 3), plan(90*time.Second, 3); !first.Overloaded() || !second.Overloaded() {
 		t.Fatal("not overloaded at the mark, or left above the lower one")
 	}
@@ -404,7 +398,7 @@
 		}
 		taken := 2 * last.Fraction * (0.5 + rng.Float64())
 		counts := []Count{{Key: Key{"a", "c", pipeline.Normal}, Offered: 20, Cost: 8 * (0.5 + rng.Float64()), Taken: taken}}
-		policy, _ := p.Plan(at(time.Duration(second+1)*time.Second), Load{Rates: Rates{CPUs: 100}, Backlog: 2 * time.Minute, Exhausted: true, Batches: []Batch{{Period: time.Second, Counts: counts}}})
+		policy, _ := p.Plan(at(time.Duration(second+1)*time.Second), Load{Rates: Rates{CPUs: 100}, Backlog: 2 * time.Minute, Batches: []Batch{{Period: time.Second, Counts: counts}}})
 		if len(policy.Shares) != 1 {
 			t.Fatalf("second %d: %+v", second, policy)
 		}
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -24,8 +24,6 @@
 type Load struct {
 	Rates   Rates
 	Backlog time.Duration // that the machines need for what waits
-	// Exhausted says that no more machines can be had for it.
-	Exhausted bool
 	Batches []Batch       // of all controllers that could be asked, since each was last asked
 }
 
@@ -199,7 +197,7 @@
 		}
 	}
 	switch {
-	case load.Exhausted && load.Backlog >= p.options.EnterBacklog && demand > exitRate:
+	case load.Backlog >= p.options.EnterBacklog && demand > exitRate:
 		return Backlog
 	case writes >= writesEnter:
 		return Writes
--- a/internal/core/cloud_events.go
+++ b/internal/core/cloud_events.go
@@ -69,11 +69,6 @@
 	o := capacity.Offer{Type: r.Rent.Type, Zone: r.Rent.Zone, Spot: r.Rent.Spot}
 	e.plan.Answered(now, o, capacity.Answer{Asked: r.Rent.Count, Rented: len(r.Machines), Unknown: r.Unknown})
 	e.warm.noteOffer(o)
-	if len(r.Machines) > 0 {
-		e.grantedAt = now
-	} else if r.Refused {
-		e.refusedAt = now
-	}
 	for _, name := range r.Machines {
 		if _, gone := e.gone[name]; gone || e.machines[name] != nil {
 			continue
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -124,8 +124,6 @@
 	waits     startWaits
 	fairOrder FairOrder
 	backlog   fleet.Amount // what waited at the last round, in seconds of each resource
-	grantedAt time.Time    // when the cloud last rented us a machine
-	refusedAt time.Time    // when it last had none
 
 	// Warm standby.
 	warm        *warmFeed // nil: off
--- a/internal/core/fair_order.go
+++ b/internal/core/fair_order.go
@@ -125,18 +125,11 @@
 	Capacity fleet.Amount  // of all machines that take tasks, or soon will
 	Backlog  time.Duration // that they need for the tasks that wait
 	Settled  bool          // past the takeover; before, the capacity isn't known
-	// Exhausted says that the cloud has no more machines for what waits: while it has, a
-	// backlog is answered by renting.
-	Exhausted bool
 }
 
-// exhaustedFor is how long a refusal of the cloud counts: longer than an offer is left alone.
-const exhaustedFor = 90 * time.Second
-
 // Load tells of capacity and backlog, the latter as of the last round of decisions.
 func (e *Engine) Load(now time.Time) ClusterLoad {
 	load := ClusterLoad{Capacity: e.capacityTotal(), Settled: e.settled(now) && len(e.catalog) > 0}
-	load.Exhausted = !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < exhaustedFor && !e.grantedAt.After(e.refusedAt)
 	load.Backlog = time.Duration(dominantShare(e.backlog, load.Capacity) * float64(time.Second))
 	return load
 }
--- a/internal/core/fair_order_test.go
+++ b/internal/core/fair_order_test.go
@@ -79,24 +79,3 @@
 		}
 	}
 }
-
-// A backlog counts as overload only where the cloud has no more machines.
-func TestExhausted(t *testing.T) {
-	b := twoTeams(t, FairOrder{})
-	if b.e.Load(b.now).Exhausted {
-		t.Fatal("exhausted before any refusal")
-	}
-	rent := Rent{Type: "big", Zone: "a", Count: 2}
-	b.e.Step(b.now, Rented{Rent: rent, Refused: true})
-	if !b.e.Load(b.now).Exhausted {
-		t.Fatal("a refusal doesn't count")
-	}
-	b.e.Step(b.now.Add(time.Second), Rented{Rent: rent, Machines: []string{"m-9"}})
-	if b.e.Load(b.now.Add(2 * time.Second)).Exhausted {
-		t.Fatal("exhausted although a machine was rented since")
-	}
-	b.e.Step(b.now.Add(3*time.Second), Rented{Rent: rent, Refused: true})
-	if b.e.Load(b.now.Add(3*time.Second + exhaustedFor)).Exhausted {
-		t.Fatal("a refusal of long ago counts")
-	}
-}
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -204,7 +204,7 @@
 	cluster := s.engine.Load(time.Now())
 	s.mu.Unlock()
 	state := s.daemon.settings.Params.State.Lowest()
-	load.Backlog, load.Exhausted = cluster.Backlog, cluster.Exhausted
+	load.Backlog = cluster.Backlog
 	load.Rates = admission.Rates{CPUs: cluster.Capacity.CPUs, GPUs: cluster.Capacity.GPUs, MemGB: cluster.Capacity.MemGB, Jobs: state.WriteRPS * userPart}
 	return load, cluster.Settled
 }
--- a/internal/simulation/admission.go
+++ b/internal/simulation/admission.go
@@ -143,7 +143,7 @@
 	if !load.Settled {
 		return
 	}
-	policy, changed := n.planner.Plan(n.local(), admission.Load{Backlog: load.Backlog, Exhausted: load.Exhausted, Batches: batches,
+	policy, changed := n.planner.Plan(n.local(), admission.Load{Backlog: load.Backlog, Batches: batches,
 		Rates: admission.Rates{CPUs: load.Capacity.CPUs, GPUs: load.Capacity.GPUs, MemGB: load.Capacity.MemGB, Jobs: 20}})
 	if !changed {
 		n.sendPolicy()
--- a/internal/surge/surge.go
+++ b/internal/surge/surge.go
@@ -370,7 +370,7 @@
 			cut[i] = true
 		}
 	}
-	load := admission.Load{Rates: admission.Rates{CPUs: w.o.CPUs(w.now), Jobs: w.o.JobsRate}, Backlog: w.backlog(), Exhausted: true}
+	load := admission.Load{Rates: admission.Rates{CPUs: w.o.CPUs(w.now), Jobs: w.o.JobsRate}, Backlog: w.backlog()}
 	for i, g := range w.gates {
 		if !cut[i] {
 			load.Batches = append(load.Batches, g.TakeCounts(w.clock(i)))
