Recovery: rentals aren't held back by the pace

Change: rentals use the pace up but don't wait for it.

Off by default: without a bounded pace nothing changes.

--- a/internal/core/decide.go
+++ b/internal/core/decide.go
@@ -174,9 +174,7 @@
 	if now.Sub(e.started) < e.cfg.ReportEvery*5/4 {
 		return // machines may be there that haven't been heard of yet
 	}
-	if !e.recovery.Pacer().Take(false) {
-		return
-	}
+	e.recovery.Pacer().Take(true) // bulk starts wait for it, not the other way round
 	for _, o := range e.plan.Choose(now, demand, &e.freeCapacity, e.catalog) {
 		e.counter++
 		e.plan.Asked(o.Offer, o.Count)
--- a/internal/simulation/recovery_test.go
+++ b/internal/simulation/recovery_test.go
@@ -184,3 +184,13 @@
 		})
 	}
 }
+
+// Rentals once waited behind bulk starts for as long as the pace was bounded, and a replica that
+// was lost wasn't replaced in time.
+func TestPaceHoldsNoRentalsBack(t *testing.T) {
+	o := shortLeases(10205)
+	o.Pace = pace
+	if err := NewWorld(o).Run(); err != nil {
+		t.Error(err)
+	}
+}
