--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -102,6 +102,7 @@
 	u.zones[m.Zone]--
 	e.teamUse[u.team] = e.teamUse[u.team].Minus(a)
 	e.startLog.removeAttempt(a)
+	e.endCharge(now, a)
 	e.touch(m)
 	e.forgetUse(a.Ref)
 }
@@ -171,7 +172,7 @@
 	if a.Stopping && a.Grace <= grace {
 		return
 	}
-	a.Stopping, a.StopAt, a.Grace = true, now, grace
+	a.Stopping, a.StopAt, a.Grace, a.Eviction = true, now, grace, fleet.NotEvicted
 	e.touch(m)
 	if a.State() != fleet.Sent {
 		a.CommandSeq = 0
@@ -205,6 +206,7 @@
 
 // attemptLost handles an attempt that is proven gone without a reported exit.
 func (e *Engine) attemptLost(now time.Time, m *fleet.Machine, a *fleet.Attempt, why string) {
+	e.chargeInvoluntary(now, a)
 	e.detach(now, m, a)
 	e.debug("attempt gone", "job", a.Ref, "task", a.Task, "machine", m.Name, "why", why)
 	e.requeue(a)
@@ -212,14 +214,16 @@
 }
 
 // stopBrokenGang stops the rest of a gang that has lost a task: an attempt of a
-// gang runs whole or not at all.
+// gang runs whole or not at all. Another attempt of the gang, which took the place of one
+// given up, doesn't end with that (TestOldAttemptOfAGangEndsAlone).
 func (e *Engine) stopBrokenGang(now time.Time, a *fleet.Attempt) {
 	j := e.jobs[a.Ref]
 	if j == nil || j.Shape != pipeline.Gang || j.Tasks[0].State() == pipeline.Finished || len(j.Tasks) == 1 {
 		return
 	}
 	for _, b := range e.attemptsOf(a.Ref) {
-		if !b.Stopping {
+		if b.Number == a.Number && !b.Stopping {
+			e.chargeInvoluntary(now, b)
 			e.stop(now, b.On, b, 0)
 		}
 	}
@@ -232,6 +236,9 @@
 	}
 	j := e.jobs[a.Ref]
 	current := j != nil && a.Task < len(j.Tasks) && j.Tasks[a.Task].Attempt == a.Number
+	if t.Cause == fleet.CauseMatesGone {
+		e.chargeInvoluntary(now, a)
+	}
 	e.moveAttempt(now, m, a, fleet.Exited)
 	a.Cause, a.CommandSeq = t.Cause, 0
 	if t.Cause == fleet.CauseDone {
--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -5,6 +5,7 @@
 
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
+	"gingertally/internal/drain"
 )
 
 // WriteKind says what a write is about.
@@ -21,6 +22,10 @@
 	WriteImages                       // a page of the image log
 	DropImages                        // one that speaks of no machine any more
 	DropDependencies                  // a page of a long list of dependencies
+	WriteCharges                      // a page of the drains' charges
+	DropCharges                       // one that counts nowhere any more
+	WriteCordons                      // a page with the states of machines in drains
+	DropCordons                       // one that names no machine any more
 )
 
 // Write is one change to the store. Its condition is Version (0: the key
@@ -36,6 +41,8 @@
 	Final   pipeline.Final
 	Runs    []int
 	Images  fleet.ImageRecord
+	Charges drain.ChargePage
+	Cordons drain.MachinePage
 }
 
 // changes is how many puts and drops the write makes.
@@ -60,13 +67,16 @@
 func (b *batch) empty() bool { return len(b.writes) == 0 }
 
 // WritesPending tells whether a start or a job's end waits for a write.
-func (e *Engine) WritesPending() bool { return e.startLog.pending() || e.jobWrites.pending() }
+func (e *Engine) WritesPending() bool {
+	return e.startLog.pending() || e.jobWrites.pending() || e.drains.pending()
+}
 
 // Batch asks for the most urgent writes, at most `limit` puts and drops: starts and
 // jobs' ends, taking turns at going first (TestStartsAndEndsTakeTurns), then partial
 // progress, and last what only tidies.
 func (e *Engine) Batch(now time.Time, limit int) []Write {
 	b := &batch{room: limit}
+	e.drains.addWrites(now, b)
 	due := e.dueJobWrites(now)
 	e.jobEndsFirst = !e.jobEndsFirst
 	if e.jobEndsFirst {
--- a/internal/core/cloud_events.go
+++ b/internal/core/cloud_events.go
@@ -77,6 +77,7 @@
 		m.Confirmed, m.Known = true, true
 		e.addMachine(now, m)
 	}
+	e.drains.replacementRented(r)
 	e.replan = true
 	e.note("rental", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", r.Rent.Count, "got", len(r.Machines), "refused", r.Refused)
 }
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -24,6 +24,12 @@
 				a.CommandSeq = m.Seq
 				forgets = append(forgets, c)
 			}
+		case a.Eviction == fleet.EvictionApproved:
+			if e.sendEviction(now, m, a) {
+				c.Op, c.Grace = fleet.Stop, a.Grace
+				stops = append(stops, c)
+			}
+		case a.Eviction == fleet.EvictionSent && e.evictionLost(m, a):
 		case a.Stopping:
 			if state == fleet.Saving && a.Grace > 0 {
 				continue // it saves; a second stop could end that
@@ -65,7 +71,7 @@
 // mayStart tells whether a machine may be given starts (docs/design.md, safety arguments 5
 // and 6; TestCopyRevivesNothing).
 func (e *Engine) mayStart(m *fleet.Machine) bool {
-	return m.Confirmed && !m.Draining && !m.Sick && !e.unreachable[m] && m.State() == fleet.Live
+	return m.Confirmed && !m.Draining && !m.Cordoned && !m.Sick && !e.unreachable[m] && m.State() == fleet.Live
 }
 
 // imageGB is the size of a job's image, 0 if the job isn't known.
--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"math"
 	"sort"
 	"time"
@@ -69,11 +70,7 @@
 		m := c.slot.Machine
 		e.emptying[m] = true
 		e.note("machine emptied", "machine", m.Name, "type", m.Type, "tasks", m.Busy(), "saves", math.Round(c.gain*100)/100)
-		for _, a := range sortedAttempts(m) {
-			if j := e.jobs[a.Ref]; j != nil && a.State() != fleet.Exited {
-				e.stopWithSave(now, m, a, j)
-			}
-		}
+		e.moveByChoice(now, m)
 		e.startDraining(now, m)
 	}
 }
@@ -149,7 +146,7 @@
 		}
 		j := v.engine.jobs[a.Ref]
 		if j == nil || a.State() != fleet.Running || a.Stopping || j.Checkpoint == 0 || v.now.Sub(a.RunStart) < settledRun ||
-			(j.Shape == pipeline.Gang && len(j.Tasks) > 1) {
+			(j.Shape == pipeline.Gang && len(j.Tasks) > 1) || !v.engine.mayMoveByChoice(v.now, a, j) {
 			return candidate{}
 		}
 		longest = max(longest, v.engine.expectedRun(j)-v.now.Sub(a.RunStart))
@@ -210,8 +207,10 @@
 func (v *consolidation) bestTarget(j *pipeline.Job, from *placement.Slot) *placement.Slot {
 	var best *placement.Slot
 	low := math.Inf(1)
+	zones := maps.Clone(v.engine.useOf(j.Ref).zones)
+	zones[from.Zone]--
 	v.engine.freeCapacity.EachOpen(&j.Spec, "", func(o *placement.Slot) {
-		if o == from || v.emptied[o] || j.Avoids(v.now, o.Machine.Name) ||
+		if o == from || v.emptied[o] || placement.ZoneRoom(j, o.Zone, zones) < 1 || j.Avoids(v.now, o.Machine.Name) ||
 			(o.Machine.Busy() == 0 && o.Type.Price(o.Spot) > from.Type.Price(from.Spot)/2) ||
 			o.Machine.FetchLeft(v.now, j.Image, j.ImageGB, o.Type.FetchGBPerS) > moveOverhead {
 			return
--- /dev/null
+++ b/internal/core/drain_eviction.go
@@ -0,0 +1,375 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/drain"
+)
+
+const (
+	// answerDropped is how long after it sent a report a worker takes its answer (PROTOCOL).
+	answerDropped = 4 * time.Second
+	// evictionSlack is what a stop takes beside the way to the worker and saving.
+	evictionSlack = 2 * time.Second
+	// directBound is how long a direct command may take; only gangs of several tasks, which
+	// have to be told together, are stopped by them.
+	directBound = 10 * time.Second
+)
+
+// machineWork is what is on a machine that is to be emptied.
+type machineWork struct {
+	groups       []*evictionGroup
+	gangStarting bool // a gang is being started, of which not all has been reported yet
+}
+
+// evictionGroup is what is evicted together: a task, or all tasks of a gang.
+type evictionGroup struct {
+	job       *pipeline.Job
+	attempts  []*fleet.Attempt
+	candidate drain.Candidate
+	verdict   drain.Verdict
+}
+
+// workOn lists what is on a machine, but for what is leaving or has not been reported yet.
+func (e *Engine) workOn(m *fleet.Machine, now time.Time) *machineWork {
+	work := &machineWork{}
+	seen := map[string]bool{}
+	for _, a := range sortedAttempts(m) {
+		j := e.jobs[a.Ref]
+		if a.Leaving() || j == nil || j.Over() || a.Foreign {
+			continue
+		}
+		attempts := []*fleet.Attempt{a}
+		if isGang(j) {
+			if seen[a.Ref] {
+				continue
+			}
+			seen[a.Ref] = true
+			attempts = e.attemptsOf(a.Ref)
+		}
+		switch {
+		case !allReported(attempts):
+			work.gangStarting = work.gangStarting || isGang(j)
+		case anyLeaving(attempts):
+		default:
+			work.groups = append(work.groups, newEvictionGroup(now, j, attempts))
+		}
+	}
+	return work
+}
+
+// isGang tells whether a job's tasks are stopped together.
+func isGang(j *pipeline.Job) bool { return j.Shape == pipeline.Gang && len(j.Tasks) > 1 }
+
+func allReported(attempts []*fleet.Attempt) bool {
+	for _, a := range attempts {
+		if a.State() < fleet.Fetching {
+			return false
+		}
+	}
+	return true
+}
+
+func anyLeaving(attempts []*fleet.Attempt) bool {
+	for _, a := range attempts {
+		if a.Leaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// newEvictionGroup describes what would be interrupted.
+func newEvictionGroup(now time.Time, j *pipeline.Job, attempts []*fleet.Attempt) *evictionGroup {
+	g := &evictionGroup{job: j, attempts: attempts}
+	g.candidate = drain.Candidate{Team: j.Team, Class: j.Class, Job: j.Ref, Saves: j.Checkpoint > 0, Takes: evictionTime(j), Since: now}
+	if j.Shape == pipeline.Service {
+		g.candidate.Replicas = len(j.Tasks)
+	}
+	for _, a := range attempts {
+		g.candidate.Tasks = append(g.candidate.Tasks, drain.TaskAttempt{TaskKey: drain.TaskKey{Job: a.Ref, Task: a.Task}, Attempt: a.Number})
+	}
+	return g
+}
+
+// evictionTime is how long after the decision the last task of a group has left.
+func evictionTime(j *pipeline.Job) time.Duration {
+	takes := answerDropped + evictionSlack
+	if j.Checkpoint > 0 {
+		takes += j.Save
+	}
+	if isGang(j) {
+		takes += directBound
+	}
+	return takes
+}
+
+// tasksDown counts the tasks of a job that are down, but for some attempts: replicas that
+// don't run, and of other jobs tasks that were interrupted and don't run again.
+func (e *Engine) tasksDown(j *pipeline.Job, except []*fleet.Attempt) int {
+	up := map[int]bool{}
+	for a := range e.useOf(j.Ref).attempts {
+		if a.State() == fleet.Running && !a.Leaving() && !e.charged(a) {
+			up[a.Task] = true
+		}
+	}
+	for _, a := range except {
+		up[a.Task] = true
+	}
+	if j.Shape == pipeline.Service {
+		return len(j.Tasks) - len(up)
+	}
+	down := 0
+	for _, task := range e.drains.coordinator.Ledger.ChargedTasks(j.Ref) {
+		if !up[task] && task < len(j.Tasks) && j.Tasks[task].State() != pipeline.Finished {
+			down++
+		}
+	}
+	return down
+}
+
+// charged tells whether an interruption of an attempt is charged and may be under way.
+func (e *Engine) charged(a *fleet.Attempt) bool {
+	c := e.drains.coordinator.Ledger.Find(drain.TaskKey{Job: a.Ref, Task: a.Task}, a.Number)
+	return c != nil && c.Open()
+}
+
+// judge judges a group as things are now: what was evicted a moment ago counts.
+func (e *Engine) judge(now time.Time, g *evictionGroup) drain.Verdict {
+	g.candidate.Down = e.tasksDown(g.job, g.attempts)
+	return e.cfg.Drain.Judge(now, e.drains.coordinator.Ledger, &g.candidate)
+}
+
+// evictAllowed evicts what may leave a machine. It tells what stands in the way beside budgets.
+func (e *Engine) evictAllowed(now time.Time, dm *drain.Machine, work *machineWork, booking *roomBooking) drain.Verdict {
+	blocked := drain.Verdict{}
+	for _, group := range work.groups {
+		if group.verdict.Kind != drain.Allowed {
+			continue
+		}
+		if e.judge(now, group).Kind != drain.Allowed {
+			continue
+		}
+		if !booking.book(group, e.drains.coordinator.Surge(dm) > 0) {
+			return e.awaitReplacement(now, dm)
+		}
+		e.drains.coordinator.Move(dm, drain.Emptying)
+		if !e.evict(now, group) {
+			blocked = drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseNotStored}
+		}
+	}
+	return blocked
+}
+
+// evict has a group leave its machines, once the state service holds all its charges; false
+// as long as it doesn't.
+func (e *Engine) evict(now time.Time, g *evictionGroup) bool {
+	ledger, stored := e.drains.coordinator.Ledger, true
+	for _, t := range g.candidate.Tasks {
+		c := ledger.Charge(now, g.job.Team, g.job.Class, t.TaskKey, t.Attempt, drain.Voluntary)
+		stored = stored && c.Stored()
+	}
+	if !stored {
+		return false
+	}
+	for _, a := range g.attempts {
+		e.drains.moving[a.Key] = &movingTask{job: g.job, task: a.Task, attempt: a.Number}
+	}
+	if isGang(g.job) {
+		a := g.attempts[0]
+		e.stopWithSave(now, a.On, a, g.job)
+		return true
+	}
+	g.attempts[0].Eviction = fleet.EvictionApproved
+	return true
+}
+
+// sendEviction has an approved eviction go with an answer, if it is still in time; else it is
+// judged again.
+func (e *Engine) sendEviction(now time.Time, m *fleet.Machine, a *fleet.Attempt) bool {
+	j := e.jobs[a.Ref]
+	if j == nil || !e.cfg.Drain.MayMoveNow(now, j.Team, j.Class, evictionTime(j)) {
+		a.Eviction = fleet.NotEvicted
+		return false
+	}
+	a.Eviction, a.Stopping, a.StopAt, a.CommandSeq = fleet.EvictionSent, true, now, m.Seq
+	a.Grace = j.Save + time.Second
+	e.touch(m)
+	e.note("evicted", "job", a.Ref, "task", a.Task, "machine", m.Name)
+	return true
+}
+
+// evictionLost tells whether a worker that was told of an eviction goes on as if it hadn't
+// been: the answer was dropped. The eviction is then judged again, since a window may have
+// closed meanwhile; its charge stands.
+func (*Engine) evictionLost(m *fleet.Machine, a *fleet.Attempt) bool {
+	if a.State() == fleet.Saving || a.CommandSeq >= m.Seq {
+		return false
+	}
+	a.Eviction, a.Stopping = fleet.NotEvicted, false
+	return true
+}
+
+// revokeEvictions takes back the evictions from a machine that haven't gone out.
+func (e *Engine) revokeEvictions(machine string) {
+	m := e.machines[machine]
+	if m == nil {
+		return
+	}
+	for _, a := range m.Tasks {
+		if a.Eviction == fleet.EvictionApproved {
+			a.Eviction = fleet.NotEvicted
+		}
+	}
+}
+
+// voidEvery is the pause between two looks for charges that won't be spent.
+const voidEvery = 10 * time.Second
+
+// voidCharges takes back the charges of attempts that run on and whose machines aren't drained
+// any more. Their machines have reported under this term, so that no stop by an earlier leader
+// is obeyed there, and this one hasn't told them to stop (TestUnspentChargeIsVoid).
+func (e *Engine) voidCharges(now time.Time) {
+	d := e.drains
+	if now.Sub(d.voidedAt) < voidEvery {
+		return
+	}
+	d.voidedAt = now
+	ledger := d.coordinator.Ledger
+	for _, c := range ledger.OpenCharges() {
+		a := e.attemptOf(fleet.Key{Ref: c.Job, Task: c.Task}, c.Attempt)
+		if a == nil || a.Leaving() || a.State() != fleet.Running {
+			continue
+		}
+		if m := a.On; m.State() == fleet.Live && m.Confirmed && m.Token == e.term && !m.Cordoned && !m.Draining {
+			ledger.Void(c.TaskKey, c.Attempt)
+		}
+	}
+}
+
+// endCharge notes that an attempt is gone, if anything was charged for it.
+func (e *Engine) endCharge(now time.Time, a *fleet.Attempt) {
+	if e.drains != nil {
+		e.drains.coordinator.Ledger.End(now, drain.TaskKey{Job: a.Ref, Task: a.Task}, a.Number)
+	}
+}
+
+// chargeInvoluntary counts an interruption that budgets can't forbid against what they leave.
+func (e *Engine) chargeInvoluntary(now time.Time, a *fleet.Attempt) {
+	j := e.jobs[a.Ref]
+	if e.drains == nil || j == nil || j.Over() || a.Foreign || a.Stopping || a.State() < fleet.Fetching || a.State() == fleet.Exited || !e.cfg.Drain.Limits(j.Team, j.Class) {
+		return
+	}
+	ledger := e.drains.coordinator.Ledger
+	for _, o := range e.interruptedWith(j, a) {
+		ledger.Charge(now, j.Team, j.Class, drain.TaskKey{Job: o.Ref, Task: o.Task}, o.Number, drain.Involuntary)
+	}
+}
+
+// interruptedWith is what is interrupted together with an attempt: all of a gang.
+func (e *Engine) interruptedWith(j *pipeline.Job, a *fleet.Attempt) []*fleet.Attempt {
+	if isGang(j) {
+		return e.attemptsOf(j.Ref)
+	}
+	return []*fleet.Attempt{a}
+}
+
+// sortedMoving lists the tasks that are moving, by job and task.
+func (d *draining) sortedMoving() []*movingTask {
+	out := make([]*movingTask, 0, len(d.moving))
+	for _, t := range d.moving {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].less(out[k]) })
+	return out
+}
+
+func (t *movingTask) less(o *movingTask) bool {
+	if t.job.Ref != o.job.Ref {
+		return t.job.Ref < o.job.Ref
+	}
+	return t.task < o.task
+}
+
+// sortedOwn lists the machines that the scheduler empties by its own choice, by name.
+func (d *draining) sortedOwn() []*fleet.Machine {
+	return slices.SortedFunc(maps.Keys(d.own), func(a, b *fleet.Machine) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// forgetMoved forgets tasks that have been placed elsewhere, or are over.
+func (d *draining) forgetMoved() {
+	for k, t := range d.moving {
+		task := &t.job.Tasks[k.Task]
+		elsewhere := task.State() == pipeline.Assigned && task.Attempt != t.attempt
+		if elsewhere || task.State() == pipeline.Finished || t.job.Over() {
+			delete(d.moving, k)
+		}
+	}
+}
+
+// mayMoveByChoice tells whether the scheduler may move a task by its own choice, as far as
+// disruption budgets go.
+func (e *Engine) mayMoveByChoice(now time.Time, a *fleet.Attempt, j *pipeline.Job) bool {
+	if e.drains == nil || !e.cfg.Drain.Limits(j.Team, j.Class) {
+		return true
+	}
+	g := newEvictionGroup(now, j, e.interruptedWith(j, a))
+	return e.judge(now, g).Kind == drain.Allowed
+}
+
+// moveByChoice stops what is on a machine that the scheduler has chosen to empty. What is
+// under a budget is charged first (evictOwn).
+func (e *Engine) moveByChoice(now time.Time, m *fleet.Machine) {
+	for _, a := range sortedAttempts(m) {
+		j := e.jobs[a.Ref]
+		switch {
+		case j == nil || a.State() == fleet.Exited:
+		case e.drains != nil && e.cfg.Drain.Limits(j.Team, j.Class):
+			e.drains.own[m] = now
+		default:
+			e.stopWithSave(now, m, a, j)
+		}
+	}
+}
+
+// ownPatience is how long the scheduler tries to empty a machine by its own choice.
+const ownPatience = time.Minute
+
+// keepMachine gives up emptying a machine by the scheduler's own choice: budgets don't let what
+// is left on it go, and its room is needed.
+func (e *Engine) keepMachine(m *fleet.Machine) {
+	delete(e.drains.own, m)
+	delete(e.emptying, m)
+	e.revokeEvictions(m.Name)
+	m.Draining = false
+	e.touch(m)
+	e.note("machine kept", "machine", m.Name, "busy", m.Busy())
+}
+
+// evictOwn evicts what is under a budget on machines that the scheduler empties by choice.
+func (e *Engine) evictOwn(now time.Time, booking *roomBooking) {
+	for _, m := range e.drains.sortedOwn() {
+		if m.State() != fleet.Live || m.Busy() == 0 {
+			delete(e.drains.own, m)
+			continue
+		}
+		if now.Sub(e.drains.own[m]) > ownPatience && m.NoticeAt.IsZero() {
+			e.keepMachine(m)
+			continue
+		}
+		if !e.mayDisrupt(now) {
+			continue
+		}
+		for _, group := range e.workOn(m, now).groups {
+			if e.judge(now, group).Kind == drain.Allowed && booking.book(group, false) {
+				e.evict(now, group)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/drain_room.go
@@ -0,0 +1,176 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"gingertally/internal/core/capacity"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
+	"gingertally/internal/drain"
+)
+
+// replacement is a machine that is rented ahead of one that is being drained.
+type replacement struct {
+	request string // name of the rental
+	machine string // empty until the cloud has answered
+	asked   time.Time
+}
+
+// roomBooking finds out whether what is to be evicted has room elsewhere, beside all that is
+// moving already. It looks at the machines only once something asks.
+type roomBooking struct {
+	engine *Engine
+	now    time.Time
+	copies map[*placement.Slot]*placement.Slot
+	short  bool // what is moving already has no room
+}
+
+func (e *Engine) newRoomBooking(now time.Time) *roomBooking {
+	return &roomBooking{engine: e, now: now}
+}
+
+// book books room for the tasks of a group that have to leave their machines; false if there
+// isn't any. Ahead: machines that are about to be drained don't count.
+func (b *roomBooking) book(g *evictionGroup, ahead bool) bool {
+	if b.copies == nil {
+		b.copies = map[*placement.Slot]*placement.Slot{}
+		for _, t := range b.engine.drains.sortedMoving() {
+			s := b.find(t.job, b.engine.useOf(t.job.Ref).zones, ahead)
+			if s == nil {
+				b.short = true
+				break
+			}
+			s.Take(&t.job.Spec)
+		}
+	}
+	if b.short {
+		return false
+	}
+	undo := map[*placement.Slot]placement.Slot{}
+	zones := b.engine.zonesWithout(g.job, g.attempts)
+	for _, a := range g.attempts {
+		if !a.On.Cordoned && !a.On.Draining {
+			zones[a.On.Zone]++
+			continue // it may go back to where it is
+		}
+		s := b.find(g.job, zones, ahead)
+		if s == nil {
+			for slot, was := range undo {
+				*slot = was
+			}
+			return false
+		}
+		if _, saved := undo[s]; !saved {
+			undo[s] = *s
+		}
+		s.Take(&g.job.Spec)
+		zones[s.Zone]++
+	}
+	return true
+}
+
+// zonesWithout counts the tasks of a job that may be on machines by zone, but for some.
+func (e *Engine) zonesWithout(j *pipeline.Job, leaving []*fleet.Attempt) map[string]int {
+	zones := maps.Clone(e.useOf(j.Ref).zones)
+	for _, a := range leaving {
+		zones[a.On.Zone]--
+	}
+	return zones
+}
+
+// find is a place with room for a task of a job, of which so many are in which zone; nil if
+// there is none.
+func (b *roomBooking) find(j *pipeline.Job, zones map[string]int, ahead bool) *placement.Slot {
+	for _, p := range b.engine.freeCapacity.Pools {
+		if !p.Allowed(&j.Spec) {
+			continue
+		}
+		for _, s := range p.Slots {
+			if s.Future || ahead && s.Machine.Planned || j.Avoids(b.now, s.Machine.Name) || placement.ZoneRoom(j, s.Zone, zones) < 1 {
+				continue
+			}
+			if c := b.copyOf(s); c.Free(&j.Spec) > 0 {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+func (b *roomBooking) copyOf(s *placement.Slot) *placement.Slot {
+	c := b.copies[s]
+	if c == nil {
+		c = s.Plain()
+		b.copies[s] = c
+	}
+	return c
+}
+
+// awaitReplacement deals with a machine whose work has no room elsewhere: a machine like it is
+// rented, if its plan says so.
+func (e *Engine) awaitReplacement(now time.Time, dm *drain.Machine) drain.Verdict {
+	d := e.drains
+	m := e.machines[dm.Name]
+	if r := d.replacements[dm.Name]; r != nil && !e.replacementLost(now, r) {
+		return drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseReplacement}
+	}
+	delete(d.replacements, dm.Name)
+	noRoom := drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseNoRoom}
+	offer := capacity.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+	backoff, refused := e.plan.Backoff(offer)
+	if len(d.replacements) >= d.coordinator.Surge(dm) || refused && now.Before(backoff.Until) {
+		return noRoom
+	}
+	e.counter++
+	r := &replacement{request: fmt.Sprintf("r-%d-%d", e.term, e.counter), asked: now}
+	d.replacements[dm.Name] = r
+	d.coordinator.Move(dm, drain.Replacing)
+	e.plan.Asked(offer, 1)
+	e.out.Rent = append(e.out.Rent, Rent{Name: r.request, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Count: 1})
+	return drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseReplacement}
+}
+
+// replacementLost tells whether a replacement won't come up any more, or has and isn't enough.
+func (e *Engine) replacementLost(now time.Time, r *replacement) bool {
+	if r.machine == "" {
+		return now.Sub(r.asked) > replacementAnswer
+	}
+	m := e.machines[r.machine]
+	return m == nil || m.State() != fleet.Booting && m.Busy() > 0
+}
+
+// replacementAnswer is how long the cloud's answer about a replacement is waited for.
+const replacementAnswer = 30 * time.Second
+
+// replacementRented takes in the cloud's answer about a machine that may be a replacement.
+func (d *draining) replacementRented(r Rented) {
+	if d == nil {
+		return
+	}
+	for old, replaced := range d.replacements {
+		if replaced.request != r.Rent.Name {
+			continue
+		}
+		if len(r.Machines) == 0 {
+			delete(d.replacements, old)
+			return
+		}
+		replaced.machine = r.Machines[0]
+	}
+}
+
+// isReplacement tells whether a machine was rented in place of one that is still there.
+func (d *draining) isReplacement(name string) bool {
+	if d == nil {
+		return false
+	}
+	for _, r := range d.replacements {
+		if r.machine == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/drain_round.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/drain"
+)
+
+const (
+	// drainsPerRound is how many machines that are being drained one round looks at; the next
+	// goes on where it stopped.
+	drainsPerRound = 64
+	// proposalsPerRound is how many machines one round looks at to be cordoned next.
+	proposalsPerRound = 16
+	// drainLookEvery is the least time between two looks at one machine.
+	drainLookEvery = 400 * time.Millisecond
+	// lostPart: while more than so much of the fleet doesn't report, nothing is disrupted.
+	lostPart = 10
+	// cordonAhead is how long before its first task may leave a machine is cordoned at most.
+	cordonAhead = 5 * time.Minute
+)
+
+// drainRound carries the plans on.
+func (e *Engine) drainRound(now time.Time) {
+	d := e.drains
+	if d == nil {
+		return
+	}
+	complete := e.machinesComplete(now)
+	e.out.Drains = append(e.out.Drains, d.coordinator.PlanWrites(now, d.newest, complete)...)
+	d.forgetMoved()
+	e.voidCharges(now)
+	booking := e.newRoomBooking(now)
+	e.evictOwn(now, booking)
+	if e.mayDisrupt(now) {
+		e.cordonNext(now)
+	}
+	for _, m := range d.coordinator.NextActive(drainsPerRound) {
+		if now.Sub(m.Checked) >= drainLookEvery {
+			m.Checked = now
+			e.drainMachine(now, m, booking, complete)
+		}
+	}
+}
+
+// machinesComplete tells whether all machines that exist are known: the cloud's list was read
+// often enough under this term for even the latest to be on it.
+func (e *Engine) machinesComplete(now time.Time) bool {
+	wait := 2*e.cfg.ListLag + e.cfg.ReportEvery
+	return !e.lastList.IsZero() && e.lastList.Sub(e.started) > wait && e.settled(now)
+}
+
+// mayDisrupt tells whether the leader knows enough, and enough of the fleet is there, to
+// interrupt anything by choice. While the store takes no writes, no charge can be made.
+func (e *Engine) mayDisrupt(now time.Time) bool {
+	if len(e.catalog) == 0 || !e.settled(now) || e.writesFail || e.answersLate(now) {
+		return false
+	}
+	lost := e.inState[fleet.Silent] + e.inState[fleet.Unheard] + len(e.unreachable)
+	return lost <= max(1, len(e.machines)/lostPart)
+}
+
+// cordonNext cordons machines as far as the plans' stages have room.
+func (e *Engine) cordonNext(now time.Time) {
+	c := e.drains.coordinator
+	for range proposalsPerRound {
+		name, plan := c.Next(now)
+		if name == "" {
+			return
+		}
+		m := e.machines[name]
+		if m == nil {
+			c.Gone(name)
+			continue
+		}
+		if why := e.mayCordon(now, m); why.Kind != drain.Allowed {
+			c.Defer(now, name, plan, why)
+			continue
+		}
+		c.Cordon(now, name, plan)
+		e.applyCordon(m)
+		e.withdrawUnsentStarts(now, m)
+		e.note("machine cordoned", "machine", name, "plan", plan, "busy", m.Busy())
+	}
+}
+
+// mayCordon tells whether cordoning a machine would come to anything soon: nothing there is
+// without hope of leaving, or waits for long.
+func (e *Engine) mayCordon(now time.Time, m *fleet.Machine) drain.Verdict {
+	if m.State() != fleet.Live || m.Draining {
+		return drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseUnheard}
+	}
+	work := e.workOn(m, now)
+	if work.gangStarting {
+		return drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseLeaving}
+	}
+	for _, group := range work.groups {
+		v := e.judge(now, group)
+		late := v.Kind == drain.NotYet && v.Cause == drain.CauseClosed && v.Until.Sub(now) > cordonAhead
+		if v.Kind == drain.Never || late {
+			return v
+		}
+	}
+	return drain.Verdict{}
+}
+
+// drainMachine looks at one machine that is being drained and does what can be done.
+func (e *Engine) drainMachine(now time.Time, dm *drain.Machine, booking *roomBooking, complete bool) {
+	c := e.drains.coordinator
+	m := e.machines[dm.Name]
+	if m == nil {
+		if complete {
+			c.Gone(dm.Name) // the list and all reports have had time to speak of it
+		}
+		return
+	}
+	if m.State() == fleet.Releasing || dm.State() == drain.Empty {
+		dm.Verdict = drain.Verdict{}
+		return
+	}
+	dm.Verdict = e.emptyMachine(now, dm, m, booking)
+}
+
+// emptyMachine brings a machine closer to being empty, and tells why it isn't yet.
+func (e *Engine) emptyMachine(now time.Time, dm *drain.Machine, m *fleet.Machine, booking *roomBooking) drain.Verdict {
+	c := e.drains.coordinator
+	notYet := func(cause drain.Cause) drain.Verdict { return drain.Verdict{Kind: drain.NotYet, Cause: cause} }
+	switch {
+	case m.State() != fleet.Live:
+		return notYet(drain.CauseUnheard)
+	case !dm.CordonStored():
+		return notYet(drain.CauseNotStored)
+	case c.PlanPhase(dm) == drain.Paused:
+		e.revokeEvictions(m.Name)
+		return notYet(drain.CausePaused)
+	case m.Busy() == 0 && !e.hasUnstoredResults(m):
+		e.machineEmptied(now, dm, m)
+		return drain.Verdict{}
+	case !e.mayDisrupt(now):
+		return notYet(drain.CauseUnsettled)
+	}
+	if dm.State() == drain.Cordoned {
+		c.Move(dm, drain.Emptying)
+	}
+	work := e.workOn(m, now)
+	for _, group := range work.groups {
+		group.candidate.Since = dm.Since
+	}
+	verdict := e.judgeAll(now, work, c.Deadline(dm))
+	if verdict.Kind == drain.Never {
+		e.note("machine can't be emptied", "machine", m.Name, "why", verdict.String())
+		c.Defer(now, m.Name, dm.Plan, verdict)
+		e.revokeEvictions(m.Name)
+		e.applyCordon(m)
+		return verdict
+	}
+	if blocked := e.evictAllowed(now, dm, work, booking); blocked.Kind != drain.Allowed {
+		return blocked
+	}
+	if verdict.Kind == drain.Allowed {
+		return notYet(drain.CauseLeaving)
+	}
+	return verdict
+}
+
+// machineEmptied has a machine on which nothing is left take the way of all that are given back.
+func (e *Engine) machineEmptied(now time.Time, dm *drain.Machine, m *fleet.Machine) {
+	if e.drains.coordinator.Move(dm, drain.Empty) {
+		e.note("machine emptied for its plan", "machine", m.Name, "plan", dm.Plan, "after", now.Sub(dm.Since))
+		e.startDraining(now, m)
+	}
+}
+
+// judgeAll judges all work on a machine. What may leave only after the deadline never will.
+func (e *Engine) judgeAll(now time.Time, work *machineWork, deadline time.Time) drain.Verdict {
+	worst := drain.Verdict{}
+	for _, group := range work.groups {
+		v := e.judge(now, group)
+		if v.Kind == drain.NotYet && !deadline.IsZero() && v.Until.After(deadline) && group.candidate.Replicas > 0 {
+			v.Kind, v.Cause = drain.Never, drain.CauseDeadline
+		}
+		group.verdict = v
+		if v.Kind > worst.Kind || v.Kind == worst.Kind && v.Until.After(worst.Until) {
+			worst = v
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/core/draining.go
@@ -0,0 +1,224 @@
+package core
+
+// How operators' drains are joined to the machines and attempts (docs/draining.md). Package
+// drain holds the plans, the budgets and the ledger of charges; here machines are cordoned,
+// work is evicted, and what has become empty takes the way of every machine that is given back.
+
+import (
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/drain"
+)
+
+// draining is a leader's part in drains. A nil one stands for none.
+type draining struct {
+	coordinator  *drain.Coordinator
+	since        time.Time               // when the term began
+	replacements map[string]*replacement // by the machine that is replaced
+	moving       map[fleet.Key]*movingTask
+	own          map[*fleet.Machine]time.Time // that the scheduler empties by its own choice, under budgets, and since when
+	voidedAt     time.Time                    // when charges were last looked for that won't be spent
+	newest       string                       // last name of a machine that is known
+}
+
+// movingTask is a task that is being evicted and isn't placed elsewhere yet.
+type movingTask struct {
+	job     *pipeline.Job
+	task    int
+	attempt uint64
+}
+
+func newDraining(now time.Time, e *Engine, stored drain.Stored) *draining {
+	pageLimit := func() int { return e.cfg.MaxPerValue }
+	return &draining{
+		coordinator:  drain.NewCoordinator(now, e.cfg.Drain, stored, e.newPageName, pageLimit),
+		since:        now,
+		replacements: map[string]*replacement{},
+		moving:       map[fleet.Key]*movingTask{},
+		own:          map[*fleet.Machine]time.Time{},
+	}
+}
+
+// recoverCharges ends the charges of attempts that no record names any more: an earlier
+// leader knew them to be gone. When is not known, so they count from now on.
+func (e *Engine) recoverCharges(now time.Time) {
+	if e.drains == nil {
+		return
+	}
+	ledger := e.drains.coordinator.Ledger
+	for _, c := range ledger.OpenCharges() {
+		if e.attemptOf(fleet.Key{Ref: c.Job, Task: c.Task}, c.Attempt) == nil {
+			ledger.End(now, c.TaskKey, c.Attempt)
+		}
+	}
+	for _, job := range ledger.ChargedJobs() {
+		if e.jobs[job] == nil {
+			ledger.JobOver(job)
+		}
+	}
+}
+
+// attemptOf is an attempt of a task that may be on a machine; nil if it is proven gone.
+func (e *Engine) attemptOf(k fleet.Key, number uint64) *fleet.Attempt {
+	u := e.use[k.Ref]
+	if u == nil {
+		return nil
+	}
+	for a := range u.attempts {
+		if a.Key == k && a.Number == number {
+			return a
+		}
+	}
+	return nil
+}
+
+// drainMachineKnown takes in a machine that is new here: it may be cordoned, or part of a plan.
+func (e *Engine) drainMachineKnown(now time.Time, m *fleet.Machine) {
+	d := e.drains
+	if d == nil {
+		return
+	}
+	d.newest = max(d.newest, m.Name)
+	d.coordinator.Add(drain.MachineID{Name: m.Name, Type: m.Type, Zone: m.Zone})
+	e.applyCordon(m)
+	if d.coordinator.Finished(m.Name) {
+		e.startDraining(now, m) // it was emptied, and its release may not have been carried out
+	}
+}
+
+// applyCordon brings a machine's flags in line with the plans.
+func (e *Engine) applyCordon(m *fleet.Machine) {
+	c := e.drains.coordinator
+	cordoned, planned := c.Cordoned(m.Name), c.Planned(m.Name)
+	if m.Cordoned == cordoned && m.Planned == planned {
+		return
+	}
+	m.Cordoned, m.Planned = cordoned, planned
+	e.touch(m)
+}
+
+// drainMachineGone takes in that a machine is gone.
+func (e *Engine) drainMachineGone(m *fleet.Machine) {
+	d := e.drains
+	if d == nil {
+		return
+	}
+	d.coordinator.Gone(m.Name)
+	delete(d.replacements, m.Name)
+	delete(d.own, m)
+}
+
+// drainJobOver takes in that a job is over.
+func (e *Engine) drainJobOver(ref string) {
+	if e.drains != nil {
+		e.drains.coordinator.Ledger.JobOver(ref)
+	}
+}
+
+// DrainPlanStored brings a plan's record as the state service holds it.
+type DrainPlanStored struct{ Stored drain.StoredPlan }
+
+func (s DrainPlanStored) apply(e *Engine, now time.Time) {
+	d := e.drains
+	if d == nil {
+		return
+	}
+	uncordoned, fresh := d.coordinator.SetPlan(now, s.Stored)
+	for _, name := range uncordoned {
+		e.revokeEvictions(name)
+	}
+	if fresh {
+		for _, m := range e.machines {
+			d.coordinator.Add(drain.MachineID{Name: m.Name, Type: m.Type, Zone: m.Zone})
+		}
+	}
+	for _, m := range e.machines {
+		e.applyCordon(m)
+	}
+	e.note("drain plan", "plan", s.Stored.Plan.ID, "phase", s.Stored.Plan.Phase.String())
+}
+
+// DrainPlanWritten says that the write of a plan's record has ended.
+type DrainPlanWritten struct {
+	Write drain.PlanWrite
+	OK    bool
+}
+
+func (w DrainPlanWritten) apply(e *Engine, now time.Time) {
+	if e.drains != nil {
+		e.drains.coordinator.PlanWritten(now, w.Write, w.OK)
+	}
+}
+
+// DrainStatus is what operators are shown of drains; nil if they are off.
+func (e *Engine) DrainStatus(now time.Time) *drain.Status {
+	if e.drains == nil {
+		return nil
+	}
+	s := e.drains.coordinator.Status(now)
+	return &s
+}
+
+// addWrites adds pages of machines and charges that are to be written, before all else: they
+// are few, and evictions wait for them. A part of the batch is left to the rest.
+func (d *draining) addWrites(now time.Time, b *batch) {
+	if d == nil {
+		return
+	}
+	most := max(1, b.room/2)
+	for _, w := range d.coordinator.Writes(most) {
+		kind := WriteCordons
+		if w.Drop {
+			kind = DropCordons
+		}
+		b.add(Write{Kind: kind, Name: w.Name, Version: w.Version, Cordons: w.Record})
+		most--
+	}
+	for _, w := range d.coordinator.Ledger.Writes(now, most) {
+		kind := WriteCharges
+		if w.Drop {
+			kind = DropCharges
+		}
+		b.add(Write{Kind: kind, Name: w.Name, Version: w.Version, Charges: w.Record})
+	}
+}
+
+// pending tells whether an eviction or a cordon waits for a write.
+func (d *draining) pending() bool { return d != nil && d.coordinator.Pending() }
+
+// writeStarted notes that a page is on its way to the store.
+func (d *draining) writeStarted(w Write) {
+	switch w.Kind {
+	case WriteCharges, DropCharges:
+		d.coordinator.Ledger.WriteStarted(w.Name)
+	default:
+		d.coordinator.WriteStarted(w.Name)
+	}
+}
+
+// drainPageWritten brings the outcome of the write of a page of drains.
+func (e *Engine) drainPageWritten(w Write, outcome drain.Outcome) {
+	c := e.drains.coordinator
+	switch w.Kind {
+	case WriteCharges, DropCharges:
+		c.Ledger.Written(drain.PageWrite{Name: w.Name, Drop: w.Kind == DropCharges}, outcome)
+		return
+	}
+	for _, name := range c.Written(w.Name, outcome) {
+		if m := e.machines[name]; m != nil {
+			e.applyCordon(m)
+		}
+	}
+}
+
+// refused takes in that the store takes a page under no circumstances.
+func (d *draining) refused(w Write) {
+	switch w.Kind {
+	case WriteCharges, DropCharges:
+		d.coordinator.Ledger.Refused(w.Name)
+	default:
+		d.coordinator.Refused(w.Name)
+	}
+}
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -14,6 +14,7 @@
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/core/placement"
+	"gingertally/internal/drain"
 	"gingertally/internal/recovery"
 )
 
@@ -36,6 +37,7 @@
 	Pace         recovery.PaceOptions // of orders at the start of a term
 	Admission    bool                 // the backlog is to be measured, see Load
 	WarmState    bool                 // changes of the warm state are to be noted, see WarmChanges
+	Drain        *drain.Policy        // disruption budgets; nil: operators' drains are off
 }
 
 // Weights say what money is worth against lateness.
@@ -87,13 +89,14 @@
 
 	// Machines.
 	machines    map[string]*fleet.Machine
-	gone        map[string]time.Time    // names of machines proven gone, and since when
-	timers      timerQueue              // when machines are to be checked
-	recovery    *recovery.Reconciler    // of what the records and the machines say
-	writesFail  bool                    // the last batch wasn't written
-	unreachable map[*fleet.Machine]bool // machines that seem to receive no answers
-	lastList    time.Time               // of the cloud
-	prunedAt    time.Time               // when gone was last pruned
+	inState     [fleet.MachineStates]int // how many machines are in each state
+	gone        map[string]time.Time     // names of machines proven gone, and since when
+	timers      timerQueue               // when machines are to be checked
+	recovery    *recovery.Reconciler     // of what the records and the machines say
+	writesFail  bool                     // the last batch wasn't written
+	unreachable map[*fleet.Machine]bool  // machines that seem to receive no answers
+	lastList    time.Time                // of the cloud
+	prunedAt    time.Time                // when gone was last pruned
 
 	// What may be on machines.
 	use     map[string]*jobUse      // by job
@@ -120,6 +123,8 @@
 	images       imageLog
 	jobEndsFirst bool // whose turn it is in the next batch
 
+	drains *draining // operators' drains; nil: off
+
 	// Admission under overload.
 	waits     startWaits
 	fairOrder FairOrder
@@ -167,7 +172,8 @@
 	Direct  []Direct
 	Rent    []Rent
 	Release [][]string
-	Deposed bool // a higher term exists
+	Drains  []drain.PlanWrite // plans of drains whose records are to be written
+	Deposed bool              // a higher term exists
 	// HigherToken is the token that a worker has seen, if that is why.
 	HigherToken uint64
 	Resign      string // if not empty, why this term has to end; another one can go on
@@ -184,6 +190,7 @@
 	Jobs   []StoredJob
 	Pages  []StoredPage
 	Images []StoredImages
+	Drains drain.Stored // if drains are on
 	// Restored says that workers have seen higher terms than the state service knew when
 	// the term was claimed: it was restored from an older copy.
 	Restored bool
@@ -245,10 +252,14 @@
 	e.jobWrites = newJobWrites()
 	e.images = newImageLog(&e.cfg, now, e.newPageName, e.imagesOn)
 	e.images.recover(snap.Images) // before the machines that it speaks of
+	if cfg.Drain != nil {
+		e.drains = newDraining(now, e, snap.Drains) // before the machines that it cordons
+	}
 	for _, s := range snap.Jobs {
 		e.addJob(now, s)
 	}
 	e.recoverStartLog(now, snap.Pages)
+	e.recoverCharges(now)
 	for _, j := range sortedJobs(e.cancellations.stopping) {
 		// The first answer already says so (TestFirstAnswerStopsCancelled).
 		e.stopJob(now, j, "cancelled before this term")
@@ -327,6 +338,7 @@
 	e.checkMachines(now)
 	e.enforceCancellations(now)
 	e.decide(now, t.Spent)
+	e.drainRound(now)
 }
 
 // Resumed says that the leader's lease had lapsed and holds again: silence meanwhile says
--- a/internal/core/fleet/attempt.go
+++ b/internal/core/fleet/attempt.go
@@ -18,6 +18,17 @@
 	Exited
 )
 
+// Eviction is how far the eviction of an attempt by a drain is.
+type Eviction uint8
+
+// Stages of an eviction. It goes out only in the answer to a report, which no machine carries
+// out late.
+const (
+	NotEvicted       Eviction = iota
+	EvictionApproved          // it goes with the next answer, if that is still in time
+	EvictionSent              // it went with an answer
+)
+
 // Key names a task.
 type Key struct {
 	Ref  string
@@ -49,6 +60,7 @@
 
 	// Its end.
 	Stopping bool // it was told to stop
+	Eviction Eviction
 	StopAt   time.Time
 	Grace    time.Duration // for saving
 	Cause    Cause         // of its exit
@@ -71,3 +83,8 @@
 	}
 	return true
 }
+
+// Leaving tells whether an attempt is to stop, or is about to be told so.
+func (a *Attempt) Leaving() bool {
+	return a.Stopping || a.Eviction != NotEvicted || a.state == Saving || a.state == Exited
+}
--- a/internal/core/fleet/machine.go
+++ b/internal/core/fleet/machine.go
@@ -15,6 +15,8 @@
 	Silent                        // has stopped reporting
 	Releasing                     // a release is under way
 	Gone                          // proven gone
+
+	MachineStates = iota // how many there are
 )
 
 var machineStateNames = [...]string{"booting", "unheard", "live", "silent", "releasing", "gone"}
@@ -51,6 +53,8 @@
 	// Whether it gets starts.
 	Draining  bool            // it gets no more
 	Sick      bool            // it gets no more: too much has failed on it
+	Cordoned  bool            // it gets no more, at the operators' request
+	Planned   bool            // it is about to be cordoned, and used only if nothing else has room
 	HoldUntil time.Time       // it gets none until then
 	ErrorJobs map[string]bool // jobs that failed on it since something last succeeded
 	Errors    int             // how often any did
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -80,6 +80,7 @@
 	delete(e.cancellations.stopping, j)
 	e.removeJob(j)
 	e.jobWrites.jobOver(j)
+	e.drainJobOver(ref)
 	e.note("job over", "job", ref, "phase", f.Phase)
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -69,18 +69,23 @@
 // addMachine takes in a machine that is new here.
 func (e *Engine) addMachine(now time.Time, m *fleet.Machine) {
 	e.machines[m.Name] = m
+	e.inState[m.State()]++
 	m.Images = e.images.takeInherited(m.Name)
 	e.recovery.Discover(m.Name)
 	e.timers.schedule(m, now)
 	e.touch(m)
+	e.drainMachineKnown(now, m)
 }
 
 // moveMachine is the one place where a machine that is known here changes state. It returns
 // false if nothing changes.
 func (e *Engine) moveMachine(now time.Time, m *fleet.Machine, to fleet.MachineState) bool {
+	was := m.State()
 	if !m.Move(to) {
 		return false
 	}
+	e.inState[was]--
+	e.inState[to]++
 	m.Expected = false
 	if to == fleet.Silent || to == fleet.Releasing {
 		e.recovery.GivenUp(m.Name)
@@ -105,7 +110,9 @@
 	delete(e.unreachable, m)
 	e.recovery.Gone(m.Name)
 	e.images.machineGone(m.Name)
+	e.inState[fleet.Gone]--
 	e.gone[m.Name] = now
+	e.drainMachineGone(m)
 	e.warm.noteMachine(m.Name)
 	e.note("machine gone", "machine", m.Name)
 }
--- a/internal/core/placement/score.go
+++ b/internal/core/placement/score.go
@@ -28,6 +28,10 @@
 // left whole is what large tasks and gangs need, and what can be released.
 const fullerSeconds = 10.0
 
+// plannedSeconds weighs a machine that is about to be drained: it is taken only if nothing
+// else has room, so that what is placed there needn't move again.
+const plannedSeconds = 3600.0
+
 // lateSeconds weighs a start that misses its aim, startLag is what a start takes besides
 // the wait for an answer and the fetch: the write before it, and the way there.
 // probationSeconds weighs a machine on which something failed.
@@ -56,6 +60,9 @@
 	if s.Machine != nil && s.Machine.Errors > 0 {
 		score += probationSeconds
 	}
+	if s.Machine != nil && s.Machine.Planned {
+		score += plannedSeconds
+	}
 	return score
 }
 
--- a/internal/core/preemption.go
+++ b/internal/core/preemption.go
@@ -72,6 +72,7 @@
 
 // preempt stops an attempt to make room.
 func (e *Engine) preempt(now time.Time, a *fleet.Attempt) {
-	e.note("preempted", "job", a.Ref, "task", a.Task, "machine", a.On.Name)
+	e.note("preempted", "job", a.Ref, "task", a.Task, "machine", a.On.Name, "attempt", a.Number)
+	e.chargeInvoluntary(now, a)
 	e.stopWithSave(now, a.On, a, e.jobs[a.Ref])
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -270,6 +270,7 @@
 		if a.State() == fleet.Running && (j.Checkpoint == 0 || j.Save >= left) {
 			continue // can't save: it may as well go on
 		}
+		e.chargeInvoluntary(now, a)
 		e.stopWithSave(now, m, a, j)
 	}
 }
--- a/internal/core/write_outcome.go
+++ b/internal/core/write_outcome.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"gingertally/internal/drain"
+)
 
 // Sending notes that a batch is on its way: its content counts as clean unless
 // it changes again or the batch fails.
@@ -27,6 +31,8 @@
 		}
 	case WriteImages, DropImages:
 		e.images.writeStarted(w.Name)
+	case WriteCharges, DropCharges, WriteCordons, DropCordons:
+		e.drains.writeStarted(w)
 	}
 }
 
@@ -72,6 +78,11 @@
 		e.images.dropped(w.Name)
 	case DropChunk, DropDependencies:
 		e.jobWrites.dropped(w)
+	case WriteCharges, DropCharges, WriteCordons, DropCordons:
+		if w.Kind == DropCharges || w.Kind == DropCordons {
+			version = 0
+		}
+		e.drainPageWritten(w, drain.Outcome{OK: true, Version: version})
 	}
 }
 
@@ -86,6 +97,9 @@
 		e.rewriteChunk(w.Name, w.Chunk)
 	case WriteImages, DropImages:
 		e.images.writeFailed(w.Name)
+	case WriteCharges, DropCharges, WriteCordons, DropCordons:
+		version, known := seen[w.Name]
+		e.drainPageWritten(w, drain.Outcome{Version: version, Known: known})
 	}
 }
 
@@ -123,6 +137,8 @@
 		e.jobWrites.lastWrite[w.Name] = now.Add(refusedPause)
 	case WriteImages, DropImages:
 		// Left as it is until something on it changes.
+	case WriteCharges, DropCharges, WriteCordons, DropCordons:
+		e.drains.refused(w)
 	default:
 		e.writeFailed(w, nil)
 	}
--- a/internal/daemon/session_writes.go
+++ b/internal/daemon/session_writes.go
@@ -111,13 +111,12 @@
 func (s *leaderSession) reread(batch []core.Write) map[string]uint64 {
 	versions := map[string]uint64{}
 	for _, write := range batch {
-		switch write.Kind {
-		case core.WritePage, core.DropPage:
-			if version, err := s.daemon.records.PageVersion(s.ctx, write.Name); err == nil {
-				versions[write.Name] = version
-			}
-		case core.WriteJob, core.WriteFinal:
+		if write.Kind == core.WriteJob || write.Kind == core.WriteFinal {
 			s.refresh(write.Name)
+			continue
+		}
+		if version, versioned, err := s.daemon.records.PageVersion(s.ctx, write); versioned && err == nil {
+			versions[write.Name] = version
 		}
 	}
 	return versions
--- a/internal/emulator/pause_test.go
+++ b/internal/emulator/pause_test.go
@@ -17,9 +17,12 @@
 const busyThreads = 4
 
 func keepBusy() {
-	for range busyThreads {
+	end := time.Now().Add(time.Minute)
+	var busyCount [busyThreads]int
+	for thread := range busyThreads {
 		go func() {
-			for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+			for i := 0; time.Now().Before(end); i++ {
+				busyCount[thread] = i
 			}
 		}()
 	}
--- a/internal/jobstore/writes.go
+++ b/internal/jobstore/writes.go
@@ -90,8 +90,7 @@
 	case core.WritePage:
 		return putVersion(pageKey(write.Name), write.Page, write.Version)
 	case core.DropPage:
-		key := pageKey(write.Name)
-		return transaction{[]wire.Condition{{Path: key, Stamp: write.Version}}, []wire.Change{{Drop: key}}}, nil
+		return dropVersion(pageKey(write.Name), write.Version), nil
 	case core.WriteJob:
 		return putVersion(JobPrefix+write.Name, write.Job, write.Version)
 	case core.WriteFinal:
@@ -106,6 +105,12 @@
 		return drop(chunkKey(write.Name, write.Chunk)), nil
 	case core.DropDependencies:
 		return drop(dependencyKey(write.Name, write.Sum, write.Chunk)), nil
+	case core.WriteCharges:
+		return putVersion(chargePrefix+write.Name, write.Charges, write.Version)
+	case core.WriteCordons:
+		return putVersion(cordonPrefix+write.Name, write.Cordons, write.Version)
+	case core.DropCharges, core.DropCordons:
+		return dropVersion(versionedKey(write), write.Version), nil
 	}
 	return transaction{}, fmt.Errorf("unknown write %d", write.Kind)
 }
@@ -136,8 +141,31 @@
 	return transaction{changes: []wire.Change{{Drop: key}}}
 }
 
-// PageVersion reads the version of a page of the start log; 0 if there is none.
-func (j *Jobs) PageVersion(ctx context.Context, name string) (uint64, error) {
-	item, _, err := j.store.Get(ctx, pageKey(name))
-	return item.Stamp, err
+// dropVersion deletes a version of a key; 0 stands for none.
+func dropVersion(key string, version uint64) transaction {
+	return transaction{[]wire.Condition{{Path: key, Stamp: version}}, []wire.Change{{Drop: key}}}
+}
+
+// versionedKey is the key of a page that is written over a version of it; empty for all else.
+func versionedKey(write core.Write) string {
+	switch write.Kind {
+	case core.WritePage, core.DropPage:
+		return pageKey(write.Name)
+	case core.WriteCharges, core.DropCharges:
+		return chargePrefix + write.Name
+	case core.WriteCordons, core.DropCordons:
+		return cordonPrefix + write.Name
+	}
+	return ""
+}
+
+// PageVersion reads the version of the page that a write is about; 0 if there is none. False if
+// the write is about no page that has its version checked.
+func (j *Jobs) PageVersion(ctx context.Context, write core.Write) (version uint64, versioned bool, err error) {
+	key := versionedKey(write)
+	if key == "" {
+		return 0, false, nil
+	}
+	item, _, err := j.store.Get(ctx, key)
+	return item.Stamp, true, err
 }
--- a/internal/simulation/checker.go
+++ b/internal/simulation/checker.go
@@ -21,21 +21,22 @@
 	// attempts seen, to catch numbers used twice
 	used map[string]*machine
 	// starts that reached a machine after their job's user knew that it is cancelled
-	startsCancelled int
-	waiting         map[*userJob]time.Time    // since when there was room, see checkStarvation
-	preempted       map[string]bool           // tasks that are to stop for a job with a better claim
-	moves           int                       // of replicas by choice
-	takenBack       int                       // tasks of borrowed jobs that were preempted
-	newestAttempt   map[string]uint64         // of each task
-	pacedSeconds    int                       // in which a term's pace was bounded
-	pacedSince      time.Time                 // when the present one of them began
-	pacedStarts     int                       // of bulk work in it
-	pacedRate       float64                   // the highest pace in it
-	moved           map[*userJob]map[int]bool // replicas stopped by choice and not running again
+	startsCancelled   int
+	waiting           map[*userJob]time.Time    // since when there was room, see checkStarvation
+	preempted         map[string]bool           // tasks that are to stop for a job with a better claim
+	preemptedAttempts map[string]bool           // the same by attempt: its start may arrive after the decision
+	moves             int                       // of replicas by choice
+	takenBack         int                       // tasks of borrowed jobs that were preempted
+	newestAttempt     map[string]uint64         // of each task
+	pacedSeconds      int                       // in which a term's pace was bounded
+	pacedSince        time.Time                 // when the present one of them began
+	pacedStarts       int                       // of bulk work in it
+	pacedRate         float64                   // the highest pace in it
+	moved             map[*userJob]map[int]bool // replicas stopped by choice and not running again
 }
 
 func newChecker(w *World) *checker {
-	return &checker{w: w, on: map[string]map[*task]bool{}, used: map[string]*machine{}, waiting: map[*userJob]time.Time{}, moved: map[*userJob]map[int]bool{}, newestAttempt: map[string]uint64{}, preempted: map[string]bool{}}
+	return &checker{w: w, on: map[string]map[*task]bool{}, used: map[string]*machine{}, waiting: map[*userJob]time.Time{}, moved: map[*userJob]map[int]bool{}, newestAttempt: map[string]uint64{}, preempted: map[string]bool{}, preemptedAttempts: map[string]bool{}}
 }
 
 func (c *checker) fail(format string, args ...any) {
--- /dev/null
+++ b/internal/simulation/drain_check.go
@@ -0,0 +1,312 @@
+package simulation
+
+import (
+	"strings"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/drain"
+	"gingertally/internal/wire"
+)
+
+// Keys of what leaders store of drains.
+const (
+	cordonPrefix = "drain/cordon/"
+	chargePrefix = "drain/charge/"
+)
+
+// drainCheck holds the disruption budgets against what workers do. It knows nothing of the
+// planner: it counts the stops that reach tasks by nothing but the service's choice.
+type drainCheck struct {
+	d             *drainWorld
+	interruptions []interruption
+	perTask       map[string]int
+	counted       map[string]bool           // attempts
+	down          map[*userJob]map[int]bool // tasks stopped by choice that don't run again
+	leaving       map[*task]bool            // stopped by choice, still on their machines
+	cordoned      map[string]time.Time      // machines, and since when the store says so
+	pages         map[string][]string       // machines on each stored page
+	sent          map[string]time.Time      // when a direct stop of an attempt was first sent
+	released      map[string]bool           // machines
+	oldLed        time.Time                 // when the version in production was last seen to lead
+}
+
+// interruption is a stop by choice.
+type interruption struct {
+	at          time.Time
+	team, class string
+}
+
+func newDrainCheck(d *drainWorld) *drainCheck {
+	return &drainCheck{d: d, perTask: map[string]int{}, counted: map[string]bool{}, down: map[*userJob]map[int]bool{},
+		leaving: map[*task]bool{}, cordoned: map[string]time.Time{}, sent: map[string]time.Time{}, released: map[string]bool{}, pages: map[string][]string{}}
+}
+
+// applying are the budgets that apply to a job.
+func (c *drainCheck) applying(j *userJob) map[drain.Scope]drain.Budget {
+	out := map[drain.Scope]drain.Budget{}
+	for _, scope := range []drain.Scope{{Team: j.spec.Team}, {Team: j.spec.Team, Class: j.spec.Class}} {
+		if b, ok := c.d.policy.Budgets[scope]; ok {
+			out[scope] = b
+		}
+	}
+	return out
+}
+
+// toldToStop checks a stop that has reached a worker.
+func (w *World) drainToldToStop(t *task) {
+	if w.drains == nil {
+		return
+	}
+	c := w.drains.check
+	key := taskKey(t.job.spec.Ref, t.index, t.attempt)
+	if c.counted[key] || !w.check.byChoice(t) || c.gangBroken(t) || c.gangExcused(t) || c.productionLed() {
+		return
+	}
+	budgets := c.applying(t.job)
+	if len(budgets) == 0 {
+		return
+	}
+	c.counted[key] = true
+	c.perTask[name(t)]++
+	c.interruptions = append(c.interruptions, interruption{w.now, t.job.spec.Team, t.job.spec.Class})
+	c.d.note("interruptions by choice")
+	if isGang(t.job) {
+		c.d.note("interruptions of gangs")
+	}
+	c.leaving[t] = true
+	c.goesDown(t)
+	c.charged(t)
+	for scope, b := range budgets {
+		c.withinBudget(t, scope, b)
+	}
+}
+
+// gangBroken tells whether a gang's task has lost another, or hasn't got it yet: what is left
+// of it has to stop.
+func (c *drainCheck) gangBroken(t *task) bool {
+	if !isGang(t.job) {
+		return false
+	}
+	for i := range t.job.spec.Tasks {
+		if c.counted[taskKey(t.job.spec.Ref, i, t.attempt)] {
+			return false // another of its tasks was stopped by choice
+		}
+	}
+	return len(t.job.mates(t.attempt)) < t.job.spec.Tasks
+}
+
+// gangExcused tells whether something else than the service's choice asks for the end of
+// another task of a gang: all of it stops.
+func (c *drainCheck) gangExcused(t *task) bool {
+	if !isGang(t.job) {
+		return false
+	}
+	for i := range t.job.spec.Tasks {
+		if c.d.w.check.preemptedAttempts[taskKey(t.job.spec.Ref, i, t.attempt)] {
+			return true
+		}
+	}
+	for _, o := range t.job.mates(t.attempt) {
+		if !c.d.w.check.byChoice(o) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *drainCheck) goesDown(t *task) {
+	if c.down[t.job] == nil {
+		c.down[t.job] = map[int]bool{}
+	}
+	c.down[t.job][t.index] = true
+}
+
+// runsAgain notes that a task runs.
+func (w *World) drainRuns(t *task) {
+	if w.drains != nil {
+		delete(w.drains.check.down[t.job], t.index)
+	}
+}
+
+// drainLeft checks that a task which was stopped by choice has left before its team's work
+// must not move any more.
+func (w *World) drainLeft(t *task) {
+	if w.drains == nil || !w.drains.check.leaving[t] {
+		return
+	}
+	c := w.drains.check
+	delete(c.leaving, t)
+	if t.job.askedCancel || !t.saved || isGang(t.job) {
+		return
+	}
+	for scope, b := range c.applying(t.job) {
+		if closedAt(b, w.now) {
+			w.check.fail("closed: %s is still saving on %s in a closed window of %s", name(t), t.m.name, scope)
+		}
+	}
+}
+
+// charged checks that the state service holds a charge for a stop.
+func (c *drainCheck) charged(t *task) {
+	for key, it := range c.d.w.store.items {
+		if !strings.HasPrefix(key, chargePrefix) {
+			continue
+		}
+		var record drain.ChargePage
+		if wire.Unmarshal(it.v, &record) != nil {
+			c.d.w.check.fail("%s can't be read", key)
+			return
+		}
+		for _, job := range record.Jobs {
+			for _, e := range job.Entries {
+				if job.Job == t.job.spec.Ref && e.Task == t.index && e.Attempt == t.attempt {
+					return
+				}
+			}
+		}
+	}
+	c.d.w.check.fail("uncharged: %s is stopped on %s by choice, and no charge is stored", name(t), t.m.name)
+}
+
+// withinBudget holds one budget against a stop.
+func (c *drainCheck) withinBudget(t *task, scope drain.Scope, b drain.Budget) {
+	w := c.d.w
+	if b.TaskInterruptions != drain.Unlimited && c.perTask[name(t)] > b.TaskInterruptions {
+		w.check.fail("task budget: %s is stopped for the %d. time on %s, %d allowed", name(t), c.perTask[name(t)], t.m.name, b.TaskInterruptions)
+	}
+	if n := c.within(scope, b.Window); b.WindowInterruptions != drain.Unlimited && n > b.WindowInterruptions {
+		w.check.fail("window budget: %s is number %d of %s within %s, %d allowed", name(t), n, scope, b.Window, b.WindowInterruptions)
+	}
+	if n := len(c.down[t.job]); b.MaxUnavailable != drain.Unlimited && n > b.MaxUnavailable {
+		w.check.fail("unavailable: with %s, %d tasks are down by choice, %d allowed", name(t), n, b.MaxUnavailable)
+	}
+	at := w.now
+	if isGang(t.job) {
+		at = c.sent[taskKey(t.job.spec.Ref, t.index, t.attempt)] // direct commands may be late
+	}
+	if closedAt(b, at) {
+		w.check.fail("closed: %s is stopped on %s in a closed window of %s", name(t), t.m.name, scope)
+	}
+}
+
+// within counts the interruptions of a scope in the last so much time.
+func (c *drainCheck) within(scope drain.Scope, window time.Duration) int {
+	n := 0
+	for _, i := range c.interruptions {
+		if i.team == scope.Team && (scope.Class == "" || i.class == scope.Class) && c.d.w.now.Sub(i.at) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// isGang tells whether a job's tasks are stopped together, by direct commands.
+func isGang(j *userJob) bool { return j.spec.Shape == pipeline.Gang && j.spec.Tasks > 1 }
+
+// drainCommandSent notes when a direct command was sent.
+func (w *World) drainCommandSent(d core.Direct) {
+	if w.drains == nil {
+		return
+	}
+	for _, c := range d.Commands {
+		key := taskKey(c.Ref, c.Task, c.Attempt)
+		if c.Op == fleet.Stop && w.drains.check.sent[key].IsZero() {
+			w.drains.check.sent[key] = w.now
+		}
+	}
+}
+
+// productionLed tells whether the version in production, which knows of no budgets, led until
+// so shortly before that its commands may still arrive.
+func (c *drainCheck) productionLed() bool {
+	for _, n := range c.d.w.nodes {
+		if n.old && n.eng != nil {
+			c.oldLed = c.d.w.now
+		}
+	}
+	return !c.oldLed.IsZero() && c.d.w.now.Sub(c.oldLed) < lateCommands
+}
+
+// lateCommands is how late direct commands may arrive in these worlds.
+const lateCommands = 40 * time.Second
+
+// closedAt tells whether a true time is in a closed window.
+func closedAt(b drain.Budget, moment time.Time) bool {
+	now := moment.UTC()
+	at := time.Duration(now.Hour())*time.Hour + time.Duration(now.Minute())*time.Minute + time.Duration(now.Second())*time.Second + time.Duration(now.Nanosecond())
+	for _, w := range b.Closed {
+		if at >= w.From && at < w.To {
+			return true
+		}
+	}
+	return false
+}
+
+// stored follows which machines the state service holds as cordoned.
+func (c *drainCheck) stored(changes []wire.Change) {
+	for _, change := range changes {
+		page := change.Drop
+		var record drain.MachinePage
+		if strings.HasPrefix(change.Put, cordonPrefix) {
+			page = change.Put
+			if wire.Unmarshal(change.V, &record) != nil {
+				c.d.w.check.fail("%s can't be read", page)
+			}
+		}
+		if !strings.HasPrefix(page, cordonPrefix) {
+			continue
+		}
+		before := c.pages[page]
+		c.pages[page] = nil
+		for _, m := range record.Machines {
+			c.pages[page] = append(c.pages[page], m.Name)
+			if c.cordoned[m.Name].IsZero() {
+				c.cordoned[m.Name] = c.d.w.now
+				c.d.note("machines cordoned")
+			}
+			if m.State == drain.Released && !c.released[m.Name] {
+				c.released[m.Name] = true
+				c.d.note("machines released")
+			}
+		}
+		for _, name := range before {
+			if !c.onAnyPage(name) {
+				delete(c.cordoned, name)
+			}
+		}
+	}
+}
+
+func (c *drainCheck) onAnyPage(name string) bool {
+	for _, names := range c.pages {
+		for _, n := range names {
+			if n == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// drainCordoned tells whether operators have a machine drained.
+func (w *World) drainCordoned(m *machine) bool {
+	return w.drains != nil && !w.drains.check.cordoned[m.name].IsZero()
+}
+
+// answerDropped is how long after its report a worker takes an answer, and a little more.
+const answerDropped = 4500 * time.Millisecond
+
+// drainStarts checks a start: its machine isn't one that was cordoned before the start could
+// have left. Version in production doesn't know of cordons.
+func (w *World) drainStarts(t *task) {
+	if w.drains == nil || w.o.Roll {
+		return
+	}
+	since := w.drains.check.cordoned[t.m.name]
+	if !since.IsZero() && w.now.Sub(since) > answerDropped {
+		w.check.fail("cordoned: %s starts on %s, which has been cordoned for %s", name(t), t.m.name, w.now.Sub(since))
+	}
+}
--- /dev/null
+++ b/internal/simulation/drains.go
@@ -0,0 +1,353 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/drain"
+	"gingertally/internal/jobstore"
+	"gingertally/internal/wire"
+)
+
+// drainWorld adds to a world teams with disruption budgets and operators that have machines
+// drained. It draws random numbers of its own, so that the other worlds of the same seed stay
+// what they are. A nil one does nothing.
+type drainWorld struct {
+	w      *World
+	rng    *rand.Rand
+	policy *drain.Policy
+	plans  []string
+	check  *drainCheck
+	fault  drainFault
+	notes  map[string]int // what came about, and how often
+}
+
+// drainFault is a deliberate fault by which tests see a check fail.
+type drainFault int
+
+const (
+	noDrainFault           drainFault = iota
+	chargesAfterTheStop               // the leader takes charges for stored before they are sent
+	chargesKeptInMemory               // the state service loses pages of charges
+	cordonsForgotten                  // a new leader finds no cordons
+	gangsChargedAsOneTask             // of a gang, one task is charged
+	closedWindowsForgotten            // controllers know of no closed windows
+)
+
+// drainSkew bounds how far the controllers' clocks are off in these worlds.
+const drainSkew = 250 * time.Millisecond
+
+func newDrainWorld(w *World) *drainWorld {
+	d := &drainWorld{w: w, rng: rand.New(rand.NewPCG(w.o.Seed, 23)), notes: map[string]int{}, fault: w.o.DrainFault}
+	d.policy = d.randomPolicy()
+	d.check = newDrainCheck(d)
+	return d
+}
+
+func (d *drainWorld) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(d.rng.Int64N(int64(hi-lo)+1))
+}
+
+func (d *drainWorld) note(what string) { d.notes[what]++ }
+
+// randomPolicy gives the teams budgets of every kind.
+func (d *drainWorld) randomPolicy() *drain.Policy {
+	p := &drain.Policy{Budgets: map[drain.Scope]drain.Budget{}, FinishWait: d.between(2*time.Second, 20*time.Second), Skew: drainSkew}
+	for _, team := range []string{"red", "blue", "amber"} {
+		b := drain.NewBudget()
+		switch d.rng.IntN(4) {
+		case 0:
+			b.TaskInterruptions = d.rng.IntN(2)
+		case 1:
+			b.WindowInterruptions, b.Window = 1+d.rng.IntN(5), d.between(20*time.Second, 60*time.Second)
+		case 2:
+			b.TaskInterruptions, b.MaxUnavailable = 1, 1+d.rng.IntN(2)
+		}
+		if d.rng.IntN(2) == 0 {
+			b.Closed = d.randomWindows()
+		}
+		p.Budgets[drain.Scope{Team: team}] = b
+	}
+	if d.rng.IntN(3) == 0 {
+		b := drain.NewBudget()
+		b.WindowInterruptions, b.Window = 2, 30*time.Second
+		p.Budgets[drain.Scope{Team: "red", Class: "c"}] = b
+	}
+	return p
+}
+
+// randomWindows are closed windows that come and go within the world.
+func (d *drainWorld) randomWindows() []drain.ClosedWindow {
+	var out []drain.ClosedWindow
+	for at := d.between(0, 40*time.Second); at < d.w.o.Length; at += d.between(30*time.Second, 60*time.Second) {
+		from := d.w.start.Add(at).In(time.UTC)
+		day := time.Date(from.Year(), from.Month(), from.Day(), 0, 0, 0, 0, time.UTC)
+		begin := from.Sub(day).Truncate(time.Second)
+		w := drain.ClosedWindow{From: begin, To: begin + d.between(10*time.Second, 25*time.Second).Truncate(time.Second), Location: time.UTC}
+		for i := range w.Days {
+			w.Days[i] = true
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// nodePolicy are the budgets that the controllers go by.
+func (d *drainWorld) nodePolicy() *drain.Policy {
+	if d == nil {
+		return nil
+	}
+	if d.fault != closedWindowsForgotten {
+		return d.policy
+	}
+	p := *d.policy
+	p.Budgets = map[drain.Scope]drain.Budget{}
+	for scope, b := range d.policy.Budgets {
+		b.Closed = nil
+		p.Budgets[scope] = b
+	}
+	return &p
+}
+
+// start plans what operators ask for.
+func (d *drainWorld) start() {
+	if d == nil {
+		return
+	}
+	d.planJobs()
+	for range 2 + d.rng.IntN(3) {
+		d.w.after(d.between(5*time.Second, d.w.o.Length*2/3), d.request)
+	}
+	for range 3 {
+		d.w.after(d.between(20*time.Second, d.w.o.Length), d.interfere)
+	}
+	d.w.after(d.w.o.Length+30*time.Second, func() {
+		for _, id := range d.plans {
+			d.cancel(id)
+		}
+	})
+}
+
+// planJobs submits long work of the teams with budgets: what doesn't end while drains go on.
+// It is cancelled when the troubles are over.
+func (d *drainWorld) planJobs() {
+	for i, shape := range []pipeline.Shape{pipeline.Array, pipeline.Service, pipeline.Array, pipeline.Gang} {
+		s := pipeline.Spec{Ref: fmt.Sprintf("j-8%05d", i), Class: []string{"c", "long"}[d.rng.IntN(2)], Team: []string{"red", "blue"}[i%2], Shape: shape,
+			Tasks: 2 + d.rng.IntN(2), CPUs: 1, MemGB: 1, Image: "img-0", ImageGB: 1, Estimate: endless, Priority: pipeline.High}
+		if d.rng.IntN(3) > 0 {
+			s.Checkpoint, s.Save = 3*time.Second, 2*time.Second
+		}
+		j := &userJob{w: d.w, spec: s, run: endless, done: map[int]bool{}}
+		d.w.jobs[s.Ref] = j
+		d.w.after(d.between(0, 15*time.Second), j.submit)
+		d.w.after(d.w.o.Length+d.between(0, 20*time.Second), j.cancel)
+	}
+}
+
+// request has an operator ask for a new drain, some of them at two controllers at once.
+func (d *drainWorld) request() {
+	p := drain.Plan{ID: fmt.Sprintf("plan-%d", len(d.plans)), MaxAtOnce: 1 + d.rng.IntN(3), Surge: d.rng.IntN(3), KeepCordoned: d.rng.IntN(3) == 0}
+	switch d.rng.IntN(4) {
+	case 0:
+		p.Selector.Zone = d.w.zones[d.rng.IntN(len(d.w.zones))]
+	case 1:
+		p.Selector.Type = []string{"small", "large"}[d.rng.IntN(2)]
+	default:
+		p.Selector.All = true
+	}
+	if d.rng.IntN(4) == 0 {
+		p.Deadline = d.between(20*time.Second, 90*time.Second)
+	}
+	d.plans = append(d.plans, p.ID)
+	d.create(p)
+	if d.rng.IntN(2) == 0 {
+		d.create(p)
+	}
+}
+
+// create sends a request to some controller until it is answered.
+func (d *drainWorld) create(p drain.Plan) {
+	n := d.anyNode()
+	answered := false
+	if !n.down && !n.stalled() {
+		n.call(func() {
+			if _, err := n.jobs.CreateDrainPlan(bg, p, n.local()); err == nil {
+				d.note("plans accepted")
+				answered = true
+			}
+		}, func() {})
+	}
+	d.w.after(3*time.Second, func() {
+		if !answered {
+			d.create(p)
+		}
+	})
+}
+
+// interfere has an operator pause, resume or cancel a plan.
+func (d *drainWorld) interfere() {
+	if len(d.plans) == 0 {
+		return
+	}
+	id := d.plans[d.rng.IntN(len(d.plans))]
+	if d.rng.IntN(3) == 0 {
+		d.change(id, drain.Cancelled)
+		return
+	}
+	d.change(id, drain.Paused)
+	d.w.after(d.between(2*time.Second, 20*time.Second), func() { d.change(id, drain.Running) })
+}
+
+// change has a plan's phase changed at some controller, as far as it can be reached.
+func (d *drainWorld) change(id string, to drain.Phase) {
+	n := d.anyNode()
+	if n.down || n.stalled() {
+		return
+	}
+	n.call(func() {
+		if _, err := n.jobs.ChangeDrainPlan(bg, id, to); err == nil {
+			d.note(to.String())
+		}
+	}, func() {})
+}
+
+// cancel has a plan cancelled, again and again until it is over.
+func (d *drainWorld) cancel(id string) {
+	d.change(id, drain.Cancelled)
+	d.w.after(5*time.Second, func() {
+		stored, err := d.w.nodes[0].jobs.DrainPlan(bg, id)
+		if err != nil || stored.Plan.Phase != drain.Cancelled && stored.Plan.Phase != drain.Completed {
+			d.cancel(id)
+		}
+	})
+}
+
+func (d *drainWorld) anyNode() *node { return d.w.nodes[d.rng.IntN(len(d.w.nodes))] }
+
+// drainsOn tells whether a node runs a version that knows of drains.
+func (n *node) drainsOn() bool { return n.w.drains != nil && !n.old }
+
+// readDrains reads what is stored of drains for a new leader.
+func (n *node) readDrains(snap *core.Snapshot) error {
+	if !n.drainsOn() {
+		return nil
+	}
+	var err error
+	snap.Drains, err = n.jobs.Drains(bg)
+	if n.w.drains.fault == cordonsForgotten {
+		snap.Drains.Machines = nil
+	}
+	return err
+}
+
+// writePlan writes a leader's change of a plan's record.
+func (n *node) writePlan(w drain.PlanWrite) {
+	eng, term, jobs, life := n.eng, n.term, n.jobs, n.life
+	answered, ok := false, false
+	done := func() {
+		if !answered && n.eng == eng && eng != nil {
+			answered = true
+			n.step(core.DrainPlanWritten{Write: w, OK: ok})
+		}
+	}
+	n.call(func() { ok = jobs.WriteDrainPlan(bg, term, w) == nil }, done)
+	n.w.after(callTimeout, func() { n.run(life, done) })
+}
+
+// drainChanged lets watches see changes of plans, and the checker changes of cordons.
+func (w *World) drainChanged(changes []wire.Change) {
+	if w.drains == nil {
+		return
+	}
+	w.drains.check.stored(changes)
+	for _, c := range changes {
+		id, ok := strings.CutPrefix(c.Put, jobstore.DrainPlanPrefix)
+		if !ok {
+			continue
+		}
+		for _, n := range w.nodes {
+			if n.eng != nil && n.drainsOn() {
+				w.planWatched(n, n.eng, id, w.between(time.Millisecond, 200*time.Millisecond))
+			}
+		}
+	}
+}
+
+// planWatched brings a changed plan to a leader, once the state service can be reached.
+func (w *World) planWatched(n *node, eng *core.Engine, id string, in time.Duration) {
+	life := n.life
+	w.after(in, func() {
+		n.run(life, func() {
+			switch {
+			case n.eng != eng:
+			case n.cutOff() || n.storeDown():
+				w.planWatched(n, eng, id, time.Second)
+			default:
+				if stored, err := n.jobs.DrainPlan(bg, id); err == nil {
+					n.step(core.DrainPlanStored{Stored: stored})
+				}
+			}
+		})
+	})
+}
+
+// spoilCharges carries deliberate faults out on what a leader writes.
+func (d *drainWorld) spoilCharges(changes []wire.Change) []wire.Change {
+	if d == nil || d.fault != chargesKeptInMemory && d.fault != gangsChargedAsOneTask {
+		return changes
+	}
+	var out []wire.Change
+	for _, c := range changes {
+		if !strings.HasPrefix(c.Put, chargePrefix) {
+			out = append(out, c)
+			continue
+		}
+		if d.fault == gangsChargedAsOneTask {
+			out = append(out, wire.Change{Put: c.Put, V: oneTaskOfEach(c.V)})
+		}
+	}
+	return out
+}
+
+// oneTaskOfEach keeps of each job on a page of charges those of its first task.
+func oneTaskOfEach(value wire.Raw) wire.Raw {
+	var record drain.ChargePage
+	if wire.Unmarshal(value, &record) != nil {
+		return value
+	}
+	for i := range record.Jobs {
+		job := &record.Jobs[i]
+		job.Entries = job.Entries[:1]
+	}
+	return wire.MustMarshal(record)
+}
+
+// chargeAfterTheStop carries a deliberate fault out: the leader goes on as if its charges were
+// stored, and they are sent only after a while.
+func (n *node) chargeAfterTheStop(batch []core.Write) []core.Write {
+	if n.w.drains == nil || n.w.drains.fault != chargesAfterTheStop {
+		return batch
+	}
+	var charges, rest []core.Write
+	for _, w := range batch {
+		if w.Kind == core.WriteCharges {
+			charges = append(charges, w)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	if len(charges) > 0 {
+		term, jobs := n.term, n.jobs
+		n.step(core.Sending{Batch: charges})
+		n.step(core.Written{Batch: charges, OK: true, Version: term.Stamp})
+		n.w.after(chargeDelay, func() { _, _, _ = jobs.Apply(bg, term, charges) })
+	}
+	return rest
+}
+
+// chargeDelay is how much too late charges are then stored.
+const chargeDelay = 10 * time.Second
--- a/internal/simulation/election.go
+++ b/internal/simulation/election.go
@@ -127,7 +127,7 @@
 
 func (n *node) elected(t leadership.Term, lease int, sent time.Time) {
 	snap, revision, err := n.jobs.Snapshot(bg)
-	if err != nil {
+	if err != nil || n.readDrains(&snap) != nil {
 		return
 	}
 	n.term, n.lease, n.writing, n.leaseUntil, n.extensions = t, lease, false, time.Time{}, map[*node]time.Time{}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -216,6 +216,9 @@
 	for _, d := range eff.Direct {
 		n.w.sendDirectCommands(n, d)
 	}
+	for _, p := range eff.Drains {
+		n.writePlan(p)
+	}
 	for _, r := range eff.Rent {
 		n.rent(r)
 	}
@@ -253,6 +256,7 @@
 		return
 	}
 	batch := n.eng.Batch(n.local(), n.limits().TxnOps)
+	batch = n.chargeAfterTheStop(batch)
 	if len(batch) == 0 {
 		return
 	}
@@ -301,13 +305,12 @@
 	}
 	seen := map[string]uint64{}
 	for _, wr := range sent {
-		switch wr.Kind {
-		case core.WritePage, core.DropPage:
-			if v, err := n.jobs.PageVersion(bg, wr.Name); err == nil {
-				seen[wr.Name] = v
-			}
-		case core.WriteJob, core.WriteFinal:
+		if wr.Kind == core.WriteJob || wr.Kind == core.WriteFinal {
 			n.refresh(wr.Name)
+			continue
+		}
+		if v, versioned, err := n.jobs.PageVersion(bg, wr); versioned && err == nil {
+			seen[wr.Name] = v
 		}
 	}
 	if n.eng != nil {
@@ -372,6 +375,7 @@
 		}
 	}
 	w.check.stored(changes)
+	w.drainChanged(changes)
 }
 
 // watched brings a change to a leader, once the state service can be reached.
--- a/internal/simulation/random_test.go
+++ b/internal/simulation/random_test.go
@@ -102,7 +102,7 @@
 	if set("SHORT_LEASE") {
 		o = shortLeases(seed)
 	}
-	o.Standby, o.Admission = set("STANDBY"), set("ADMISSION")
+	o.Standby, o.Admission, o.Draining = set("STANDBY"), set("ADMISSION"), set("DRAIN")
 	if set("PACE") {
 		o.Pace = pace
 	}
--- a/internal/simulation/replica_check.go
+++ b/internal/simulation/replica_check.go
@@ -28,7 +28,7 @@
 // its user, nor its machine's failures or end, nor a job with a better claim, nor a newer
 // attempt that has taken its place.
 func (c *checker) byChoice(t *task) bool {
-	if t.job.mayBeCancelled() || t.m.errors > 0 || t.m.sick || !t.m.noticeAt.IsZero() || c.preempted[name(t)] {
+	if t.job.mayBeCancelled() || t.m.errors > 0 || t.m.sick || !t.m.noticeAt.IsZero() || c.preempted[name(t)] || c.preemptedAttempts[taskKey(t.job.spec.Ref, t.index, t.attempt)] {
 		return false
 	}
 	return t.attempt == c.newestAttempt[name(t)]
@@ -48,6 +48,7 @@
 		}
 		ref, task := x.Args[1].(string), x.Args[3].(int)
 		c.preempted[wire.TaskName(ref, task)] = true
+		c.preemptedAttempts[taskKey(ref, task, x.Args[7].(uint64))] = true
 		if j := c.w.jobs[ref]; j != nil && j.spec.Class == borrowed {
 			c.takenBack++
 		}
--- a/internal/simulation/starvation_check.go
+++ b/internal/simulation/starvation_check.go
@@ -185,9 +185,9 @@
 	return cpus, gpus
 }
 
-// takes tells whether a machine is well and a job may use it.
+// takes tells whether a machine is well, isn't cordoned, and a job may use it.
 func (c *checker) takes(m *machine, s *pipeline.Spec) bool {
-	well := !c.w.now.Before(m.hungUntil) && m.isUp && !m.sick && m.noticeAt.IsZero() &&
+	well := !c.w.drainCordoned(m) && !c.w.now.Before(m.hungUntil) && m.isUp && !m.sick && m.noticeAt.IsZero() &&
 		(m.errors == 0 || m.errors < sickAfter && c.w.now.Sub(m.failedAt) > failureForgotten)
 	return well && s.AllowsType(m.typ) && (s.Zone == "" || s.Zone == m.zone) && (!m.spot || s.Spot)
 }
--- a/internal/simulation/task.go
+++ b/internal/simulation/task.go
@@ -66,6 +66,7 @@
 func (t *task) run() {
 	t.m.w.check.goesOn(t, "runs")
 	t.state = fleet.Running
+	t.m.w.drainRuns(t)
 	delete(t.m.w.check.moved[t.job], t.index)
 	if t.job.began.IsZero() {
 		t.job.began = t.m.w.now
@@ -102,6 +103,7 @@
 		return
 	}
 	t.state, t.cause, t.saved = fleet.Exited, c, saved
+	t.m.w.drainLeft(t)
 	t.leaveMachine()
 	t.m.changed()
 	switch c {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -283,6 +283,7 @@
 	if m == nil {
 		return
 	}
+	w.drainCommandSent(d)
 	delay := w.between(time.Millisecond, 20*time.Millisecond)
 	if m.inboundLost {
 		return
@@ -317,6 +318,7 @@
 		case fleet.Stop:
 			if t != nil && t.state != fleet.Exited {
 				m.w.check.toldToStop(t)
+				m.w.drainToldToStop(t)
 				t.stop(c.Grace)
 				changed = true
 			}
@@ -338,6 +340,7 @@
 	}
 	t := &task{m: m, job: j, index: c.Task, attempt: c.Attempt, state: fleet.Fetching}
 	m.w.check.begun(t)
+	m.w.drainStarts(t)
 	var cpus, gpus, mem float64
 	for _, o := range m.tasks {
 		if o.state == fleet.Exited {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -36,6 +36,8 @@
 	Pace               recovery.PaceOptions // of orders at the start of a term
 	Admission          bool                 // admission control, and a team that floods the deployment
 	Standby            bool                 // the leader's warm state is replicated
+	Draining           bool                 // operators drain machines, within budgets
+	DrainFault         drainFault           // a deliberate fault of drains
 	ShortLease         bool                 // the jobs and faults of a deployment with short leases
 }
 
@@ -72,6 +74,7 @@
 	shortLease      *shortLease     // nil: none
 	digest          *digest         // nil: none
 	admission       *admissionWorld // nil: everything is admitted
+	drains          *drainWorld     // nil: nobody drains machines
 	standbys        *standbyNetwork // nil: the warm state isn't replicated
 }
 
@@ -123,6 +126,9 @@
 	if o.Admission {
 		w.admission = newAdmissionWorld(w)
 	}
+	if o.Draining {
+		w.drains = newDrainWorld(w)
+	}
 	w.check = newChecker(w)
 	w.cloud = &cloudSim{w: w, answered: map[string][]string{}}
 	for i := range o.Nodes {
@@ -139,6 +145,7 @@
 	}
 	w.pipelines = newPipelinePlan(w)
 	w.shortLease.start()
+	w.drains.start()
 	if o.Faults {
 		w.planFaults()
 	}
@@ -218,7 +225,11 @@
 // coreConfig is the core's part of a node's settings.
 func (n *node) coreConfig() core.Config {
 	w := n.w
-	return core.Config{Teams: w.teams, Debug: w.Trace != nil, ReportEvery: w.o.Report, Lease: w.o.Lease,
+	c := core.Config{Teams: w.teams, Debug: w.Trace != nil, ReportEvery: w.o.Report, Lease: w.o.Lease,
 		CancelWithin: w.o.Cancel, GangWait: gangWait, ListLag: 2 * time.Second, RestartLimit: 3,
 		BatchEvery: 2 * time.Second, MaxPerValue: n.limits().ValueBytes, RoundBudget: 200, Weights: core.DefaultWeights(), WarmState: n.standbyOn(), Pace: w.o.Pace, Admission: w.o.Admission}
+	if n.drainsOn() {
+		c.Drain = w.drains.nodePolicy()
+	}
+	return c
 }
