--- a/cmd/gingertally/admission.go
+++ b/cmd/gingertally/admission.go
@@ -1,18 +1,14 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"gingertally/internal/daemon"
 )
 
@@ -23,27 +19,16 @@
 
 // Run prints which classes of jobs are refused now, and why.
 func (c *admissionCmd) Run() error {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+c.Server+daemon.StatusPath, statusTimeout)
-	switch {
-	case err != nil:
-		return exitError{fmt.Errorf("%s: %w", c.Server, err), exitGaveUp}
-	case code != fasthttp.StatusOK:
-		return exitError{fmt.Errorf("%s: status %d", c.Server, code), exitGaveUp}
-	}
-	var status daemon.Status
-	if err := json.Unmarshal(body, &status); err != nil {
-		return fmt.Errorf("%s: %w", c.Server, err)
+	status, err := fetchStatus(c.Server)
+	if err != nil {
+		return err
 	}
 	return printAdmission(os.Stdout, &status, c.Team)
 }
 
 // printAdmission prints the policy, and each class of a team, of all if none is named.
 func printAdmission(out io.Writer, status *daemon.Status, team string) error {
-	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	if _, err := io.WriteString(table, admissionText(status, team)); err != nil {
-		return err
-	}
-	return table.Flush()
+	return printTable(out, admissionText(status, team))
 }
 
 // admissionText is the same with cells set off by tabs.
--- a/cmd/gingertally/differences.go
+++ b/cmd/gingertally/differences.go
@@ -1,19 +1,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"gingertally/internal/daemon"
 	"gingertally/internal/recovery"
 )
 
@@ -24,25 +18,14 @@
 // Run prints how the reports of the machines differed from the records in this term, and which
 // machines aren't settled. It changes nothing.
 func (c *differencesCmd) Run() error {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+c.Server+daemon.StatusPath, statusTimeout)
-	switch {
-	case err != nil:
-		return exitError{fmt.Errorf("%s: %w", c.Server, err), exitGaveUp}
-	case code != fasthttp.StatusOK:
-		return exitError{fmt.Errorf("%s: status %d", c.Server, code), exitGaveUp}
-	}
-	var status daemon.Status
-	if err := json.Unmarshal(body, &status); err != nil {
-		return fmt.Errorf("%s: %w", c.Server, err)
+	status, err := fetchStatus(c.Server)
+	if err != nil {
+		return err
 	}
 	if status.Leading == nil {
 		return exitError{fmt.Errorf("%s: the leader can't be asked", c.Server), exitGaveUp}
 	}
-	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	if _, err := io.WriteString(table, differencesText(status.Leading.Term, &status.Leading.Recovery)); err != nil {
-		return err
-	}
-	return table.Flush()
+	return printTable(os.Stdout, differencesText(status.Leading.Term, &status.Leading.Recovery))
 }
 
 // differencesText is the report with cells set off by tabs.
--- a/cmd/gingertally/main.go
+++ b/cmd/gingertally/main.go
@@ -28,6 +28,7 @@
 	Wait        waitCmd        `cmd:"" help:"Wait until a job is done or cancelled."`
 	Status      statusCmd      `cmd:"" help:"Show leader, machines, and why jobs wait."`
 	Admission   admissionCmd   `cmd:"" help:"Show which classes of jobs are refused now, and why."`
+	Drain       drainCmd       `cmd:"" help:"Empty machines in stages, within disruption budgets, and give them back."`
 	Differences differencesCmd `cmd:"" help:"Show how machines and records differed in this term, and what isn't settled."`
 }
 
--- a/cmd/gingertally/status.go
+++ b/cmd/gingertally/status.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sort"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,31 +28,53 @@
 
 // Run prints the status.
 func (c *statusCmd) Run() error {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+c.Server+daemon.StatusPath, statusTimeout)
-	switch {
-	case err != nil:
-		return exitError{fmt.Errorf("%s: %w", c.Server, err), exitGaveUp}
-	case code != fasthttp.StatusOK:
-		return exitError{fmt.Errorf("%s: status %d", c.Server, code), exitGaveUp}
+	body, err := fetchStatusBody(c.Server)
+	if err != nil {
+		return err
 	}
 	if c.JSON {
 		_, err := fmt.Println(string(body))
 		return err
 	}
+	status, err := decodeStatus(c.Server, body)
+	if err != nil {
+		return err
+	}
+	return printStatus(os.Stdout, status)
+}
+
+// fetchStatusBody asks a controller for the status, as it sends it.
+func fetchStatusBody(server string) ([]byte, error) {
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+server+daemon.StatusPath, statusTimeout)
+	switch {
+	case err != nil:
+		return nil, exitError{fmt.Errorf("%s: %w", server, err), exitGaveUp}
+	case code != fasthttp.StatusOK:
+		return nil, exitError{fmt.Errorf("%s: status %d", server, code), exitGaveUp}
+	}
+	return body, nil
+}
+
+func decodeStatus(server string, body []byte) (daemon.Status, error) {
 	var status daemon.Status
 	if err := json.Unmarshal(body, &status); err != nil {
-		return fmt.Errorf("%s: %w", c.Server, err)
+		return status, fmt.Errorf("%s: %w", server, err)
 	}
-	return printStatus(os.Stdout, status)
+	return status, nil
+}
+
+// fetchStatus asks a controller for the status.
+func fetchStatus(server string) (daemon.Status, error) {
+	body, err := fetchStatusBody(server)
+	if err != nil {
+		return daemon.Status{}, err
+	}
+	return decodeStatus(server, body)
 }
 
 // printStatus prints the status as aligned tables.
 func printStatus(out io.Writer, status daemon.Status) error {
-	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	if _, err := io.WriteString(table, statusText(status)); err != nil {
-		return err
-	}
-	return table.Flush()
+	return printTable(out, statusText(status))
 }
 
 // statusText is the status with cells set off by tabs.
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -13,8 +13,12 @@
 
 // busyFleet is a leader with so many machines, all of them full, and a backlog.
 func busyFleet(machines int) (*Engine, time.Time, []fleet.Report) {
+	return busyFleetWith(config(), machines)
+}
+
+func busyFleetWith(cfg Config, machines int) (*Engine, time.Time, []fleet.Report) {
 	now := time.Unix(5000, 0)
-	e := New(now, config(), 2, Snapshot{}, rand.New(rand.NewPCG(1, 1)))
+	e := New(now, cfg, 2, Snapshot{}, rand.New(rand.NewPCG(1, 1)))
 	e.Step(now, Catalog{placement.Catalog{"big": {Name: "big", CPUs: 8, MemGB: 32, CacheGB: 10, FetchGBPerS: 1, Hourly: 1, Boot: 20 * time.Second, Zones: []string{"a"}}}})
 	reports := make([]fleet.Report, machines)
 	for i := range reports {
--- /dev/null
+++ b/internal/core/drain_bench_test.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/drain"
+)
+
+// The cost of a tick with its round, and of a report, in a full fleet: with drains off, on, and
+// with all machines in a plan, a tenth of them cordoned and under budgets that let little go.
+func BenchmarkDrain(b *testing.B) {
+	for _, machines := range []int{500, 4000} {
+		for _, mode := range []string{"off", "on", "plan of all"} {
+			b.Run(fmt.Sprintf("tick/%d/%s", machines, mode), func(b *testing.B) {
+				e, now, _ := drainedFleet(machines, mode)
+				for b.Loop() {
+					now = now.Add(100 * time.Millisecond)
+					e.Step(now, Tick{})
+				}
+			})
+			b.Run(fmt.Sprintf("report/%d/%s", machines, mode), func(b *testing.B) {
+				e, now, reports := drainedFleet(machines, mode)
+				for i := 0; b.Loop(); i++ {
+					r := &reports[i%machines]
+					r.Seq++
+					e.Step(now, ReportIn{*r})
+				}
+			})
+		}
+	}
+}
+
+// drainedFleet is a full fleet in one of the modes of BenchmarkDrain.
+func drainedFleet(machines int, mode string) (*Engine, time.Time, []fleet.Report) {
+	cfg := config()
+	if mode != "off" {
+		cfg = drainConfig(map[drain.Scope]drain.Budget{{Team: "t"}: limit(func(b *drain.Budget) { b.WindowInterruptions, b.Window = 1, time.Hour })})
+	}
+	e, now, reports := busyFleetWith(cfg, machines)
+	if mode == "plan of all" {
+		plan := drain.Plan{ID: "all", Selector: drain.Selector{All: true}, MaxAtOnce: machines / 10, Through: "m-999999", CreatedMS: now.UnixMilli()}
+		e.Step(now, DrainPlanStored{drain.StoredPlan{Plan: plan, Version: 1}})
+		e.Step(now, Listed{})
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			e.Step(now, Tick{})
+			batch := e.Batch(now, 30)
+			e.Step(now, Sending{batch})
+			e.Step(now, Written{Batch: batch, OK: true, Version: 100})
+		}
+	}
+	return e, now, reports
+}
--- /dev/null
+++ b/internal/core/drain_preview.go
@@ -0,0 +1,46 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gingertally/internal/drain"
+)
+
+// previewedMachines is how many machines a preview lists.
+const previewedMachines = 200
+
+// PreviewDrain tells what a plan would do as things are now, and changes nothing; nil if drains
+// are off.
+func (e *Engine) PreviewDrain(now time.Time, plan drain.Plan) *drain.Preview {
+	if e.drains == nil {
+		return nil
+	}
+	plan.Through = e.drains.newest
+	preview := &drain.Preview{}
+	interrupted := map[drain.Scope]int{}
+	for _, name := range slices.Sorted(maps.Keys(e.machines)) {
+		m := e.machines[name]
+		if !plan.Selects(drain.MachineID{Name: m.Name, Type: m.Type, Zone: m.Zone}) {
+			continue
+		}
+		stage := preview.Machines / plan.MaxAtOnce
+		preview.Machines++
+		preview.Stages = stage + 1
+		listed := drain.PreviewMachine{Name: m.Name, Stage: stage + 1, Blocked: e.mayCordon(now, m).String()}
+		for _, group := range e.workOn(m, now).groups {
+			scope := drain.Scope{Team: group.job.Team, Class: group.job.Class}
+			interrupted[scope] += len(group.attempts)
+			listed.Work = append(listed.Work, drain.PreviewWork{Scope: scope, Job: group.job.Ref, Tasks: len(group.attempts), Verdict: e.judge(now, group).String()})
+		}
+		if len(preview.Listed) < previewedMachines {
+			preview.Listed = append(preview.Listed, listed)
+		}
+	}
+	for scope, tasks := range interrupted {
+		preview.Interrupted = append(preview.Interrupted, drain.PreviewScope{Scope: scope, Tasks: tasks})
+	}
+	slices.SortFunc(preview.Interrupted, func(a, b drain.PreviewScope) int { return a.Scope.Compare(b.Scope) })
+	return preview
+}
--- /dev/null
+++ b/internal/core/draining_test.go
@@ -0,0 +1,291 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gingertally/internal/core/fleet"
+	"gingertally/internal/core/pipeline"
+	"gingertally/internal/drain"
+)
+
+// A drained machine is emptied and given back, and its work goes on elsewhere.
+func TestMachineIsDrained(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 3))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	d.drainMachine("m-1")
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there || d.runsOn("m-2") != 3 || d.evicts != 3 {
+		t.Fatalf("%v, %d evictions, %+v", d.on, d.evicts, d.e.DrainStatus(d.now))
+	}
+	if s := d.e.DrainStatus(d.now); s.Plans[0].Phase != drain.Completed || s.Scopes[0].Voluntary != 3 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Without a stored charge nothing is stopped; once the store takes it, it is.
+func TestNoEvictionWithoutStoredCharge(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 2))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	d.drainMachine("m-1")
+	for i := 0; len(d.stored.Machines) == 0 && i < 100; i++ {
+		d.tick(200 * time.Millisecond)
+	}
+	if len(d.stored.Machines) != 1 || len(d.stored.Charges) != 0 {
+		t.Fatalf("%d pages of machines, %d of charges", len(d.stored.Machines), len(d.stored.Charges))
+	}
+	d.down = true
+	d.run(60 * time.Second)
+	if d.evicts != 0 {
+		t.Fatalf("%d evictions while the store takes no charge", d.evicts)
+	}
+	d.down = false
+	d.there("m-3") // the other has gone back for idleness
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there {
+		t.Errorf("not emptied once the store is back: %+v", d.e.DrainStatus(d.now))
+	}
+}
+
+// The leader ends between charge and stop: the next one carries the eviction out, and charges
+// nothing again.
+func TestNextLeaderSpendsTheCharge(t *testing.T) {
+	budgets := map[drain.Scope]drain.Budget{{Team: "t"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 1 })}
+	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	d.drainMachine("m-1")
+	for i := 0; len(d.stored.Charges) == 0 && i < 100; i++ {
+		d.tick(200 * time.Millisecond) // nothing reports meanwhile, so nothing is told to stop
+	}
+	if len(d.stored.Charges) != 1 || d.evicts != 0 {
+		t.Fatalf("%d pages of charges, %d evictions", len(d.stored.Charges), d.evicts)
+	}
+	d.takeOver()
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there || d.evicts != 1 || d.runsOn("m-2") != 1 {
+		t.Fatalf("%v, %d evictions, %+v", d.on, d.evicts, d.e.DrainStatus(d.now))
+	}
+	if s := d.e.DrainStatus(d.now); s.Scopes[0].Voluntary != 1 {
+		t.Errorf("charged %d times", s.Scopes[0].Voluntary)
+	}
+	d.drainMachine("m-2") // the only interruption is used up
+	d.there("m-3")
+	d.run(120 * time.Second)
+	if d.evicts != 1 {
+		t.Errorf("%d evictions, one allowed", d.evicts)
+	}
+}
+
+// Two teams' budgets conflict on one machine: one service has nothing left, so the machine
+// can't be emptied. No work of the other team is interrupted for it, it goes on getting work,
+// and the status says whose budget it is.
+func TestConflictingBudgets(t *testing.T) {
+	budgets := map[drain.Scope]drain.Budget{{Team: "u"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 0 })}
+	stuck := longJob("j-2", "u", 1)
+	stuck.Record.Spec.Shape = pipeline.Service
+	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 2), stuck)
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	d.drainMachine("m-1")
+	d.run(60 * time.Second)
+	if d.evicts != 0 || d.runsOn("m-1") != 3 {
+		t.Fatalf("%d evictions, %d run on", d.evicts, d.runsOn("m-1"))
+	}
+	if m := d.e.machines["m-1"]; m.Cordoned || !m.Planned {
+		t.Errorf("cordoned %v, planned %v", m.Cordoned, m.Planned)
+	}
+	waiting := d.e.DrainStatus(d.now).Plans[0].Waiting
+	if want := "a task has no interruption left (budget of u) for j-2"; len(waiting) != 1 || waiting[0].Reason != want {
+		t.Errorf("%+v", waiting)
+	}
+}
+
+// One may move only by night, the other only by day: each goes in its time.
+func TestNightAndDay(t *testing.T) {
+	every := [7]bool{true, true, true, true, true, true, true}
+	begin := time.Unix(5000, 0).UTC()
+	midnight := begin.Truncate(24 * time.Hour)
+	offset := begin.Sub(midnight).Truncate(time.Second)
+	early := drain.ClosedWindow{Days: every, From: 0, To: offset + 60*time.Second, Location: time.UTC}
+	late := drain.ClosedWindow{Days: every, From: offset + 60*time.Second, To: 24 * time.Hour, Location: time.UTC}
+	budgets := map[drain.Scope]drain.Budget{
+		{Team: "t"}: limit(func(b *drain.Budget) { b.Closed = []drain.ClosedWindow{early} }),
+		{Team: "u"}: limit(func(b *drain.Budget) { b.Closed = []drain.ClosedWindow{late} }),
+	}
+	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 1), longJob("j-2", "u", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(6 * time.Second)
+	d.drainMachine("m-1")
+	for d.now.Before(begin.Add(55 * time.Second)) {
+		d.run(3 * time.Second)
+	}
+	if d.evicts != 1 || d.runsOn("m-1") != 1 || d.on["m-1"][0].Ref != "j-1" {
+		t.Fatalf("before the change: %d evictions, %v, %+v", d.evicts, d.on, d.e.DrainStatus(d.now))
+	}
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there || d.evicts != 2 {
+		t.Errorf("after it: %d evictions, %v", d.evicts, d.on)
+	}
+}
+
+// A gang is evicted once, and charged for all its tasks, though two of its machines are drained.
+func TestGangIsChargedWhole(t *testing.T) {
+	gang := longJob("j-1", "t", 2)
+	gang.Record.Spec.Shape, gang.Record.Spec.CPUs = pipeline.Gang, 5
+	d := newDrainBench(t, drainConfig(nil), gang)
+	d.there("m-1", "m-2")
+	d.run(15 * time.Second)
+	if d.runsOn("m-1") != 1 || d.runsOn("m-2") != 1 {
+		t.Fatalf("not placed as meant: %v", d.on)
+	}
+	d.plan(drain.Plan{ID: "p", Selector: drain.Selector{All: true}, MaxAtOnce: 2, CreatedMS: d.now.UnixMilli()})
+	d.run(15 * time.Second)
+	if d.evicts != 0 {
+		t.Fatalf("%d evictions without room elsewhere", d.evicts)
+	}
+	d.there("m-3", "m-4")
+	d.run(6 * time.Second)
+	if s := d.e.DrainStatus(d.now); d.evicts != 2 || s.Scopes[0].Voluntary != 2 {
+		t.Errorf("%d tasks evicted, %d charged", d.evicts, s.Scopes[0].Voluntary)
+	}
+}
+
+// A cordoned machine gets no start, under this leader and under the next; a drained one that
+// turns up again, as listed late or by a late report, gets none either.
+func TestNoStartOnDrainedMachine(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.drainMachine("m-1")
+	d.run(6 * time.Second) // it has no room elsewhere, and stays
+	d.takeOver()
+	more := longJob("j-2", "t", 2)
+	d.jobs = append(d.jobs, more)
+	d.step(JobStored{Job: more})
+	d.run(30 * time.Second)
+	if len(d.on["m-1"]) != 1 {
+		t.Fatalf("started on a cordoned machine: %v", d.on)
+	}
+	d.there("m-2")
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there || d.runsOn("m-2") != 3 {
+		t.Fatalf("not emptied: %v", d.on)
+	}
+	d.takeOver()
+	d.on["m-1"] = nil // it is listed and reports as if nothing had been
+	d.there("m-1")
+	d.jobs = append(d.jobs, longJob("j-3", "t", 8))
+	d.step(JobStored{Job: d.jobs[2]})
+	for range 10 {
+		d.tick(time.Second)
+		d.report("m-1", d.tokenOf("m-1"))
+		if got := starts(d.report("m-1", d.tokenOf("m-1"))); len(got) > 0 {
+			t.Fatalf("a drained machine that returned got %v", got)
+		}
+		if d.e.machines["m-1"] == nil {
+			return // it was released again
+		}
+	}
+}
+
+// An eviction whose answer is lost is judged again, with the charge that it has.
+func TestLostEvictionIsJudgedAgain(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	d.drainMachine("m-1")
+	told := 0
+	for range 20 {
+		d.tick(3 * time.Second)
+		for _, c := range d.report("m-1", d.e.term, d.on["m-1"]...).Commands {
+			if c.Op == fleet.Stop {
+				told++ // and the answer is lost
+			}
+		}
+		d.reports("m-2")
+	}
+	if s := d.e.DrainStatus(d.now); told < 3 || s.Scopes[0].Voluntary != 1 {
+		t.Errorf("told %d times, charged %d times", told, s.Scopes[0].Voluntary)
+	}
+}
+
+// A plan that ends between charge and stop: the charge won't be spent, and is taken back.
+func TestUnspentChargeIsVoid(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	d.drainMachine("m-1")
+	for i := 0; len(d.stored.Charges) == 0 && i < 100; i++ {
+		d.tick(200 * time.Millisecond)
+	}
+	p := d.stored.Plans[0].Plan
+	p.Phase = drain.Cancelled
+	d.plan(p)
+	d.run(60 * time.Second)
+	if s := d.e.DrainStatus(d.now); d.evicts != 0 || s.Scopes[0].Voluntary != 0 || d.e.machines["m-1"].Cordoned {
+		t.Errorf("%d evictions, %+v", d.evicts, s)
+	}
+}
+
+// Preemption and lost machines aren't forbidden by a budget, and take from what it leaves.
+func TestInvoluntaryTakesFromTheBudget(t *testing.T) {
+	budgets := map[drain.Scope]drain.Budget{{Team: "t"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 1 })}
+	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(6 * time.Second)
+	delete(d.on, "m-1") // it dies
+	d.run(60 * time.Second)
+	if d.runsOn("m-2") != 1 {
+		t.Fatalf("not placed again: %v", d.on)
+	}
+	d.there("m-3")
+	d.drainMachine("m-2")
+	d.run(60 * time.Second)
+	s := d.e.DrainStatus(d.now)
+	if d.evicts != 0 || s.Scopes[0].Involuntary != 1 || s.Scopes[0].Voluntary != 0 {
+		t.Errorf("%d evictions, %+v", d.evicts, s.Scopes)
+	}
+}
+
+// The loss of an attempt of a gang that was given up for lost, and has turned up on a machine
+// that hung, doesn't end the attempt that took its place.
+func TestOldAttemptOfAGangEndsAlone(t *testing.T) {
+	gang := longJob("j-1", "t", 2)
+	gang.Record.Spec.Shape = pipeline.Gang
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{gang}})
+	b.up("m-1")
+	b.pass(6*time.Second, true)
+	on := runAll(b.report("m-1", 2))
+	if len(on) != 2 {
+		t.Fatalf("not placed as meant: %v", on)
+	}
+	b.report("m-1", 2, on...)
+	b.up("m-2")
+	old := fleet.TaskReport{Ref: "j-1", Task: 0, Attempt: 1 << attemptBits, State: fleet.Running}
+	b.report("m-2", 2, old)
+	b.report("m-2", 2) // it is gone
+	for _, c := range b.report("m-1", 2, on...).Commands {
+		if c.Op == fleet.Stop {
+			t.Errorf("the present attempt is stopped: %+v", c)
+		}
+	}
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -9,6 +9,7 @@
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
 	"gingertally/internal/core/placement"
+	"gingertally/internal/drain"
 	"gingertally/internal/recovery"
 )
 
@@ -22,7 +23,8 @@
 	Active   int          // jobs that aren't over
 	Unstored int          // starts that wait for the state service
 	Recovery recovery.Status
-	Starts   []StartWait // how long jobs waited for their first start in this term
+	Starts   []StartWait   // how long jobs waited for their first start in this term
+	Drains   *drain.Status `json:",omitempty"` // operators' drains; nil: off
 }
 
 // PoolStatus counts the machines that are alike.
@@ -60,6 +62,7 @@
 // Status tells of machines and of jobs that wait.
 func (e *Engine) Status(now time.Time) Status {
 	s := Status{Term: e.term, Settled: e.settled(now), Pools: e.poolStatus(), Active: len(e.order), Unstored: len(e.startLog.unpaged), Starts: e.waits.list(), Recovery: e.recovery.Status(now)}
+	s.Drains = e.DrainStatus(now)
 	e.addWaiting(now, &s)
 	e.addHeld(now, &s)
 	return s
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,6 +120,7 @@
 		MaxPerValue:  int(state.ValueKB * 1000),
 		WriteRate:    state.WriteRPS * leaderPart,
 		RoundBudget:  roundBudget,
+		Drain:        operatorSettings.Draining.Policy(time.Duration(params.SkewMS * float64(time.Millisecond))),
 		Debug:        slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	}
 	for _, team := range params.Teams {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -92,6 +92,8 @@
 	case path == StatusPath:
 		request.SetContentType(contentTypeJSON)
 		request.SetBody(d.statusAnywhere(ctx))
+	case path == DrainsPath || strings.HasPrefix(path, DrainsPath+"/"):
+		d.handleDrain(ctx, request, method, path)
 	case path == beatPath && method == fasthttp.MethodPost:
 		d.handleReport(ctx, request)
 	case strings.HasPrefix(path, runsPath):
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -26,6 +26,7 @@
 	term      prometheus.Gauge
 	standby   *standbyMetrics
 	admission *admissionMetrics
+	drains    *drainMetrics
 }
 
 // Buckets from 1 ms to 8 s; a user waits 5 s at the most.
@@ -55,6 +56,7 @@
 	registry.MustRegister(m.reports, m.calls, m.callTime, m.round, m.store, m.leading, m.term, commands)
 	m.admission = newAdmissionMetrics(registry)
 	m.standby = newStandbyMetrics(registry)
+	m.drains = newDrainMetrics(registry)
 	m.handler = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return m
 }
--- a/internal/daemon/peer_calls.go
+++ b/internal/daemon/peer_calls.go
@@ -26,6 +26,8 @@
 		return d.grantExtension(ctx), nil
 	case admissionPath:
 		return d.serveExchange(body)
+	case drainPreviewPath:
+		return d.previewDrain(ctx, body, false)
 	case StatusPath:
 		return http.StatusOK, d.status(time.Now()).encode()
 	}
--- a/internal/daemon/session.go
+++ b/internal/daemon/session.go
@@ -94,6 +94,7 @@
 	group.Go(s.listLoop)
 	group.Go(s.askLoop)
 	group.Go(s.admissionLoop)
+	group.Go(s.drainLoop)
 	return group.Wait()
 }
 
@@ -104,6 +105,9 @@
 func (s *leaderSession) takeOver() error {
 	for {
 		snapshot, ledger, err := s.daemon.records.Snapshot(s.ctx)
+		if err == nil {
+			snapshot.Drains, err = s.storedDrains()
+		}
 		if err == nil {
 			err = s.begin(snapshot, ledger)
 		}
@@ -178,6 +182,9 @@
 	for _, command := range effects.Direct {
 		s.daemon.commands.send(s, command)
 	}
+	for _, plan := range effects.Drains {
+		go s.writeDrainPlan(plan)
+	}
 	for _, request := range effects.Rent {
 		go s.rent(request)
 	}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -117,10 +117,4 @@
 	return answers
 }
 
-func (s Status) encode() []byte {
-	body, err := json.Marshal(s)
-	if err != nil {
-		return []byte("{}") // plain data; can't happen
-	}
-	return body
-}
+func (s Status) encode() []byte { return encodeJSON(s) }
--- a/internal/drain/coordinator.go
+++ b/internal/drain/coordinator.go
@@ -207,7 +207,7 @@
 // Add tells of a machine that is known.
 func (c *Coordinator) Add(id MachineID) {
 	for _, p := range c.order {
-		if !p.Phase.Final() && p.Through != "" && !p.queued[id.Name] && p.selects(id) && !c.claimedBy(id.Name, p) {
+		if !p.Phase.Final() && p.Through != "" && !p.queued[id.Name] && p.Selects(id) && !c.claimedBy(id.Name, p) {
 			p.queued[id.Name] = true
 			c.queued[id.Name]++
 			at := sort.SearchStrings(p.queue, id.Name)
--- /dev/null
+++ b/internal/drain/coordinator_test.go
@@ -0,0 +1,403 @@
+package drain
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// testStore stands in for the state service: pages by name with versions.
+type testStore struct {
+	charges  map[string]StoredCharges
+	machines map[string]StoredMachines
+	revision uint64
+}
+
+func newTestStore() *testStore {
+	return &testStore{charges: map[string]StoredCharges{}, machines: map[string]StoredMachines{}}
+}
+
+// writeAll writes everything that a coordinator has to write.
+func (s *testStore) writeAll(t *testing.T, now time.Time, c *Coordinator) {
+	t.Helper()
+	for range 50 {
+		charges, machines := c.Ledger.Writes(now, 3), c.Writes(3)
+		if len(charges)+len(machines) == 0 {
+			return
+		}
+		for _, w := range charges {
+			s.writeCharges(t, c, w)
+		}
+		for _, w := range machines {
+			s.writeMachines(t, c, w)
+		}
+	}
+	t.Fatal("there is always something to write")
+}
+
+func (s *testStore) writeCharges(t *testing.T, c *Coordinator, w PageWrite) {
+	t.Helper()
+	if s.charges[w.Name].Version != w.Version {
+		t.Fatalf("page %s has version %d, written over %d", w.Name, s.charges[w.Name].Version, w.Version)
+	}
+	c.Ledger.WriteStarted(w.Name)
+	s.revision++
+	s.charges[w.Name] = StoredCharges{Name: w.Name, Version: s.revision, Record: w.Record}
+	outcome := Outcome{OK: true, Version: s.revision}
+	if w.Drop {
+		delete(s.charges, w.Name)
+		outcome.Version = 0
+	}
+	c.Ledger.Written(w, outcome)
+}
+
+func (s *testStore) writeMachines(t *testing.T, c *Coordinator, w MachineWrite) {
+	t.Helper()
+	if s.machines[w.Name].Version != w.Version {
+		t.Fatalf("page %s has version %d, written over %d", w.Name, s.machines[w.Name].Version, w.Version)
+	}
+	c.WriteStarted(w.Name)
+	s.revision++
+	s.machines[w.Name] = StoredMachines{Name: w.Name, Version: s.revision, Record: w.Record}
+	outcome := Outcome{OK: true, Version: s.revision}
+	if w.Drop {
+		delete(s.machines, w.Name)
+		outcome.Version = 0
+	}
+	c.Written(w.Name, outcome)
+}
+
+// stored is what a new leader reads.
+func (s *testStore) stored(plans ...StoredPlan) Stored {
+	out := Stored{Plans: plans}
+	for _, p := range s.charges {
+		out.Charges = append(out.Charges, p)
+	}
+	for _, p := range s.machines {
+		out.Machines = append(out.Machines, p)
+	}
+	return out
+}
+
+func newTestCoordinator(now time.Time, stored Stored, term int, limit int) *Coordinator {
+	n := 0
+	return NewCoordinator(now, testPolicy(nil), stored, func() string { n++; return fmt.Sprintf("%d-%d", term, n) }, func() int { return limit })
+}
+
+func planOf(id string, maxAtOnce int, version uint64) StoredPlan {
+	return StoredPlan{Version: version, Plan: Plan{ID: id, Selector: Selector{All: true}, MaxAtOnce: maxAtOnce, Through: "m-999999", CreatedMS: testStart.UnixMilli()}}
+}
+
+func machineID(i int) MachineID {
+	return MachineID{Name: fmt.Sprintf("m-%06d", i), Type: "t", Zone: "z"}
+}
+
+// 4,000 machines in one plan, ten at a time, with a takeover after each fifty: each machine is
+// cordoned once, none is lost over the takeovers, pages fit their values, and at the end
+// nothing but the plan is left in the state service.
+func TestFourThousandMachinesInOnePlan(t *testing.T) {
+	const machines, atOnce, limit = 4000, 10, 4000
+	store, now := newTestStore(), testStart
+	plan := planOf("all", atOnce, 1)
+	gone := map[string]bool{}
+	var c *Coordinator
+	takeOver := func(term int) {
+		c = newTestCoordinator(now, store.stored(plan), term, limit)
+		for i := range machines {
+			if id := machineID(i); !gone[id.Name] {
+				c.Add(id)
+			}
+		}
+	}
+	takeOver(1)
+	for released := 0; released < machines; {
+		now = now.Add(lookAgain)
+		for {
+			name, id := c.Next(now)
+			if name == "" {
+				break
+			}
+			c.Cordon(now, name, id)
+		}
+		store.writeAll(t, now, c)
+		for _, m := range c.NextActive(atOnce) {
+			if gone[m.Name] {
+				t.Fatalf("%s is drained again", m.Name)
+			}
+			c.Move(m, Empty)
+			c.Gone(m.Name)
+			gone[m.Name] = true
+			released++
+		}
+		store.writeAll(t, now, c)
+		if released%500 == 0 {
+			takeOver(2 + released)
+		}
+	}
+	for _, p := range store.machines {
+		if size := len(p.Record.Machines) * (entryBytes + len("m-000000") + len("all")); size > limit {
+			t.Errorf("a page of %d bytes", size)
+		}
+	}
+	now = now.Add(2 * settleTime)
+	writes := c.PlanWrites(now, "m-999999", true)
+	if len(writes) != 1 || writes[0].Plan.Phase != Completed {
+		t.Fatalf("not completed: %+v", writes)
+	}
+	c.PlanWritten(now, writes[0], true)
+	c.SetPlan(now, StoredPlan{Plan: writes[0].Plan, Version: 2})
+	store.writeAll(t, now, c)
+	if len(store.machines) != 0 {
+		t.Errorf("%d pages of machines are left", len(store.machines))
+	}
+}
+
+// A machine stays cordoned over a takeover, and after the end of its plan until the state
+// service holds that.
+func TestCordonOutlivesItsLeader(t *testing.T) {
+	store, plan := newTestStore(), planOf("p", 1, 1)
+	c := newTestCoordinator(testStart, store.stored(plan), 1, 4000)
+	c.Add(machineID(1))
+	name, id := c.Next(testStart)
+	m := c.Cordon(testStart, name, id)
+	if m.CordonStored() {
+		t.Error("stored before it was written")
+	}
+	store.writeAll(t, testStart, c)
+	if !m.CordonStored() {
+		t.Error("not stored")
+	}
+	next := newTestCoordinator(testStart, store.stored(plan), 2, 4000)
+	if !next.Cordoned(name) {
+		t.Error("forgotten by the next leader")
+	}
+	plan.Version, plan.Plan.Phase = 2, Cancelled
+	if uncordoned, _ := next.SetPlan(testStart, plan); !slices.Equal(uncordoned, []string{name}) {
+		t.Errorf("uncordoned: %v", uncordoned)
+	}
+	if !next.Cordoned(name) {
+		t.Error("given starts while the state service has it cordoned")
+	}
+	store.writeAll(t, testStart, next)
+	if next.Cordoned(name) || len(store.machines) != 0 {
+		t.Error("still cordoned")
+	}
+	if last := newTestCoordinator(testStart, store.stored(plan), 3, 4000); last.Cordoned(name) {
+		t.Error("cordoned by a cancelled plan")
+	}
+}
+
+// Two plans that want the same machines: each machine belongs to one of them, and what the first
+// gives up the second takes.
+func TestTwoPlansForOneMachine(t *testing.T) {
+	store := newTestStore()
+	first, second := planOf("a", 1, 1), planOf("b", 1, 2)
+	c := newTestCoordinator(testStart, store.stored(first, second), 1, 4000)
+	c.Add(machineID(1))
+	name, id := c.Next(testStart)
+	if id != "a" {
+		t.Fatalf("%s goes to %q", name, id)
+	}
+	c.Cordon(testStart, name, id)
+	if name, id := c.Next(testStart); name != "" {
+		t.Fatalf("%s goes to %q as well", name, id)
+	}
+	first.Version, first.Plan.Phase = 3, Cancelled
+	c.SetPlan(testStart, first)
+	if name, id := c.Next(testStart.Add(lookAgain)); name == "" || id != "b" {
+		t.Fatalf("%q goes to %q", name, id)
+	}
+}
+
+// At its deadline a plan ends: what isn't empty is uncordoned, or stays cordoned until an
+// operator cancels.
+func TestDeadline(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		store, plan := newTestStore(), planOf("p", 1, 1)
+		plan.Plan.Deadline, plan.Plan.KeepCordoned = time.Minute, keep
+		c := newTestCoordinator(testStart, store.stored(plan), 1, 4000)
+		c.Add(machineID(1))
+		c.Add(machineID(2))
+		name, id := c.Next(testStart)
+		c.Cordon(testStart, name, id)
+		if w := c.PlanWrites(testStart.Add(59*time.Second), "", true); len(w) != 0 {
+			t.Fatalf("before the deadline: %+v", w)
+		}
+		writes := c.PlanWrites(testStart.Add(61*time.Second), "", true)
+		if len(writes) != 1 || writes[0].Plan.Phase != Expired {
+			t.Fatalf("at the deadline: %+v", writes)
+		}
+		c.SetPlan(testStart, StoredPlan{Plan: writes[0].Plan, Version: 2})
+		store.writeAll(t, testStart, c)
+		if c.Cordoned(name) != keep || c.Planned(machineID(2).Name) {
+			t.Errorf("keep %v: cordoned %v, planned %v", keep, c.Cordoned(name), c.Planned(machineID(2).Name))
+		}
+		cancelled := writes[0].Plan
+		if cancelled.MoveTo(Running) || !cancelled.MoveTo(Cancelled) {
+			t.Error("an expired plan can be cancelled, and nothing else")
+		}
+		c.SetPlan(testStart, StoredPlan{Plan: cancelled, Version: 3})
+		store.writeAll(t, testStart, c)
+		if c.Cordoned(name) {
+			t.Error("cordoned after the plan was cancelled")
+		}
+	}
+}
+
+// Plans that have long been over are forgotten, the oldest first.
+func TestOldPlansAreForgotten(t *testing.T) {
+	c := newTestCoordinator(testStart, Stored{}, 1, 4000)
+	for i := range keptPlans + 2 {
+		p := planOf(fmt.Sprintf("p-%02d", i), 1, 1)
+		p.Plan.Phase, p.Plan.CreatedMS = Completed, int64(i)
+		c.SetPlan(testStart, p)
+	}
+	for i := range 2 {
+		now := testStart.Add(time.Duration(i) * time.Minute)
+		w := c.PlanWrites(now, "", true)
+		if len(w) != 1 || !w[0].Drop || w[0].Plan.ID != fmt.Sprintf("p-%02d", i) {
+			t.Fatalf("%+v", w)
+		}
+		c.PlanWritten(now, w[0], true)
+	}
+	if w := c.PlanWrites(testStart.Add(time.Hour), "", true); len(w) != 0 {
+		t.Errorf("%d are kept, and %+v is to go", keptPlans, w)
+	}
+}
+
+// chargingLeaders are leaders that charge at random and end at random.
+type chargingLeaders struct {
+	t      *testing.T
+	seed   uint64
+	rng    *rand.Rand
+	store  *testStore
+	now    time.Time
+	stored map[TaskAttempt]bool // charges that the state service was seen to hold
+	leader *Coordinator
+}
+
+// smallPages is a bound of pages that takes a few charges.
+const smallPages = 1200
+
+func (c *chargingLeaders) charge(attempt int) {
+	task := TaskKey{fmt.Sprintf("j-%d", c.rng.IntN(5)), c.rng.IntN(9)}
+	if charge := c.leader.Ledger.Charge(c.now, "red", "c", task, uint64(attempt), Voluntary); charge.Stored() {
+		c.t.Fatal("stored at once")
+	}
+}
+
+func (c *chargingLeaders) write() {
+	c.store.writeAll(c.t, c.now, c.leader)
+	for _, open := range c.leader.Ledger.OpenCharges() {
+		if !open.Stored() {
+			c.t.Fatalf("seed %d: %v isn't stored after all was written", c.seed, open.TaskKey)
+		}
+		c.stored[TaskAttempt{open.TaskKey, open.Attempt}] = true
+	}
+}
+
+func (c *chargingLeaders) refuse() {
+	for _, w := range c.leader.Ledger.Writes(c.now, 1) {
+		c.leader.Ledger.WriteStarted(w.Name)
+		c.leader.Ledger.Refused(w.Name)
+	}
+}
+
+func (c *chargingLeaders) takeOver(term int) {
+	c.leader = newTestCoordinator(c.now, c.store.stored(), term, smallPages)
+	for task := range c.stored {
+		if charge := c.leader.Ledger.Find(task.TaskKey, task.Attempt); charge == nil || !charge.Stored() {
+			c.t.Fatalf("seed %d: the charge of %v is lost", c.seed, task)
+		}
+	}
+}
+
+// Charges at random, by leaders that end at random between a charge and its write: what the
+// next leader finds is what was stored, with nothing missing; pages that the state service
+// refuses are parted and lose nothing.
+func TestLedgerOverTakeovers(t *testing.T) {
+	for seed := range uint64(50) {
+		c := &chargingLeaders{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), store: newTestStore(), now: testStart, stored: map[TaskAttempt]bool{}}
+		c.takeOver(1)
+		for step := range 300 {
+			c.now = c.now.Add(time.Second)
+			switch c.rng.IntN(6) {
+			case 0, 1, 2:
+				c.charge(step)
+			case 3:
+				c.write()
+			case 4:
+				c.refuse()
+			case 5:
+				c.takeOver(step + 2)
+			}
+		}
+	}
+}
+
+// A leader that ends between the writes of the two halves of a refused page leaves charges on
+// both: each counts once, and open if either page has it so.
+func TestChargeOnTwoPages(t *testing.T) {
+	p := testPolicy(map[Scope]Budget{{Team: "red"}: budget(func(b *Budget) { b.TaskInterruptions, b.WindowInterruptions, b.Window = 1, 2, time.Minute })})
+	entry := func(end int64) ChargePage {
+		return ChargePage{Jobs: []JobCharges{{Job: "j-1", Team: "red", Class: "c", Entries: []ChargeEntry{{Task: 0, Attempt: 7, AtMS: 1, EndMS: end}}}}}
+	}
+	l := newTestLedger(p)
+	l.Recover(StoredCharges{Name: "1-1", Version: 1, Record: entry(testStart.UnixMilli())})
+	l.Recover(StoredCharges{Name: "1-2", Version: 2, Record: entry(0)})
+	if open := l.OpenCharges(); len(open) != 1 {
+		t.Fatalf("%d open charges", len(open))
+	}
+	if n, _ := l.windowUse(Scope{Team: "red"}, time.Minute, testStart, nil); n != 1 {
+		t.Errorf("counted %d times", n)
+	}
+	expect(t, "interrupted once", p.Judge(testStart, l, candidate("j-1", 0, 8)), NotYet, CauseTaskBudget)
+}
+
+// A charge that is certain not to be spent is void; one whose page is being written isn't yet,
+// since the write may still be on its way.
+func TestVoidCharge(t *testing.T) {
+	store := newTestStore()
+	c := newTestCoordinator(testStart, store.stored(), 1, 4000)
+	task := TaskKey{"j-1", 0}
+	c.Ledger.Charge(testStart, "red", "c", task, 1, Voluntary)
+	w := c.Ledger.Writes(testStart, 1)
+	c.Ledger.WriteStarted(w[0].Name)
+	if c.Ledger.Void(task, 1); c.Ledger.Find(task, 1) == nil {
+		t.Fatal("void while it is written")
+	}
+	c.Ledger.Written(w[0], Outcome{OK: true, Version: 1})
+	store.charges[w[0].Name], store.revision = StoredCharges{Name: w[0].Name, Version: 1, Record: w[0].Record}, 1
+	if c.Ledger.Void(task, 1); c.Ledger.Find(task, 1) != nil {
+		t.Fatal("not void")
+	}
+	store.writeAll(t, testStart, c)
+	if next := newTestCoordinator(testStart, store.stored(), 2, 4000); next.Ledger.Find(task, 1) != nil {
+		t.Error("the next leader finds it")
+	}
+}
+
+// Each change of a machine's or a plan's state goes through one function, which refuses those
+// that the page of states doesn't name.
+func TestStateChanges(t *testing.T) {
+	m := &Machine{}
+	for _, c := range []struct {
+		to MachineState
+		ok bool
+	}{{Empty, false}, {Cordoned, true}, {Cordoned, false}, {Emptying, true}, {Replacing, true}, {Emptying, true}, {Empty, true}, {Uncordoned, false}, {Planned, false}, {Released, true}, {Planned, false}} {
+		if m.move(c.to) != c.ok {
+			t.Errorf("to %s: %v expected, is %s", c.to, c.ok, m.state)
+		}
+	}
+	p := Plan{}
+	for _, c := range []struct {
+		to Phase
+		ok bool
+	}{{Running, false}, {Paused, true}, {Completed, false}, {Running, true}, {Completed, true}, {Running, false}, {Cancelled, false}} {
+		if p.MoveTo(c.to) != c.ok {
+			t.Errorf("to %s: %v expected, is %s", c.to, c.ok, p.Phase)
+		}
+	}
+}
--- a/internal/drain/ledger.go
+++ b/internal/drain/ledger.go
@@ -45,12 +45,31 @@
 		for _, e := range job.Entries {
 			c := &Charge{Team: job.Team, Class: job.Class, TaskKey: TaskKey{job.Job, e.Task}, Attempt: e.Attempt, Kind: e.Kind,
 				AtMS: e.AtMS, EndMS: e.EndMS, page: p, stored: true}
+			if twin := l.Find(c.TaskKey, c.Attempt); twin != nil {
+				l.merge(twin, c)
+				l.dirty[p] = true // a leader ended between the writes of a page and of its other half
+				continue
+			}
 			p.add(c)
 			l.index(c)
 		}
 	}
 }
 
+// merge takes a charge in that another page holds as well: open is the safer word, and the
+// later end.
+func (l *Ledger) merge(c, twin *Charge) {
+	was := c.EndMS
+	if c.Open() || twin.Open() {
+		c.EndMS = 0
+	} else {
+		c.EndMS = max(c.EndMS, twin.EndMS)
+	}
+	if c.EndMS != was {
+		l.dirty[c.page] = true
+	}
+}
+
 func (p *page) add(c *Charge) {
 	p.charges = append(p.charges, c)
 	p.bytes += c.bytes()
--- a/internal/drain/plan.go
+++ b/internal/drain/plan.go
@@ -123,8 +123,8 @@
 // MachineID is what a selector goes by.
 type MachineID struct{ Name, Type, Zone string }
 
-// selects tells whether a plan is about a machine.
-func (p *Plan) selects(m MachineID) bool {
+// Selects tells whether a plan is about a machine.
+func (p *Plan) Selects(m MachineID) bool {
 	s := &p.Selector
 	if m.Name > p.Through {
 		return false
--- a/internal/drain/status.go
+++ b/internal/drain/status.go
@@ -102,6 +102,6 @@
 	for _, s := range byScope {
 		out = append(out, *s)
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Scope.String() < out[k].Scope.String() })
+	sort.Slice(out, func(i, k int) bool { return out[i].Scope.Compare(out[k].Scope) < 0 })
 	return out
 }
--- a/internal/drain/verdict.go
+++ b/internal/drain/verdict.go
@@ -87,6 +87,9 @@
 
 // String returns the verdict as operators see it.
 func (v Verdict) String() string {
+	if v.Kind == Allowed {
+		return ""
+	}
 	text := v.Cause.String()
 	if v.Scope.Team != "" {
 		text += fmt.Sprintf(" (budget of %s)", v.Scope)
--- /dev/null
+++ b/internal/drain/verdict_test.go
@@ -0,0 +1,195 @@
+package drain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var testStart = time.Date(2026, 12, 2, 10, 0, 0, 0, time.UTC)
+
+// newTestLedger is an empty ledger whose pages take a few charges each.
+func newTestLedger(p *Policy) *Ledger {
+	n := 0
+	return NewLedger(p, func() string { n++; return fmt.Sprintf("1-%d", n) }, func() int { return 400 })
+}
+
+func testPolicy(budgets map[Scope]Budget) *Policy {
+	return &Policy{Budgets: budgets, FinishWait: time.Minute, Skew: time.Second}
+}
+
+func budget(change func(*Budget)) Budget {
+	b := NewBudget()
+	change(&b)
+	return b
+}
+
+// candidate is a task of a job of team red that saves.
+func candidate(job string, task int, attempt uint64) *Candidate {
+	return &Candidate{Team: "red", Class: "c", Job: job, Saves: true, Takes: 5 * time.Second, Since: testStart,
+		Tasks: []TaskAttempt{{TaskKey{job, task}, attempt}}}
+}
+
+func (c *Candidate) chargeAll(l *Ledger, now time.Time) {
+	for _, t := range c.Tasks {
+		l.Charge(now, c.Team, c.Class, t.TaskKey, t.Attempt, Voluntary)
+	}
+}
+
+func expect(t *testing.T, what string, v Verdict, kind VerdictKind, cause Cause) {
+	t.Helper()
+	if v.Kind != kind || v.Cause != cause {
+		t.Errorf("%s: %d %q, expected %d %q", what, v.Kind, v.Cause, kind, cause)
+	}
+}
+
+// "May restart once": the second interruption of a task is left to its end, or, where it has
+// none, makes its machine impossible to empty. The charge of the attempt itself doesn't count
+// against it: a leader that takes over carries out what was charged.
+func TestTaskBudget(t *testing.T) {
+	p := testPolicy(map[Scope]Budget{{Team: "red"}: budget(func(b *Budget) { b.TaskInterruptions = 1 })})
+	l := newTestLedger(p)
+	first := candidate("j-1", 0, 7)
+	expect(t, "none yet", p.Judge(testStart, l, first), Allowed, CauseNone)
+	first.chargeAll(l, testStart)
+	expect(t, "charged itself", p.Judge(testStart, l, first), Allowed, CauseNone)
+	second := candidate("j-1", 0, 8)
+	expect(t, "a second time", p.Judge(testStart, l, second), NotYet, CauseTaskBudget)
+	second.Replicas = 3
+	expect(t, "of a service", p.Judge(testStart, l, second), Never, CauseTaskBudget)
+	expect(t, "another task", p.Judge(testStart, l, candidate("j-1", 1, 8)), Allowed, CauseNone)
+	l.Charge(testStart, "red", "c", TaskKey{"j-1", 2}, 5, Involuntary)
+	expect(t, "after an involuntary one", p.Judge(testStart, l, candidate("j-1", 2, 9)), NotYet, CauseTaskBudget)
+}
+
+// A window counts an interruption from its charge until its length, and twice the skew, after
+// its attempt is known to be gone; a gang counts with all its tasks.
+func TestWindowBudget(t *testing.T) {
+	p := testPolicy(map[Scope]Budget{{Team: "red"}: budget(func(b *Budget) { b.WindowInterruptions, b.Window = 2, time.Minute })})
+	l := newTestLedger(p)
+	first, second := candidate("j-1", 0, 1), candidate("j-1", 1, 2)
+	first.chargeAll(l, testStart)
+	gang := candidate("j-2", 0, 3)
+	gang.Tasks = append(gang.Tasks, TaskAttempt{TaskKey{"j-2", 1}, 3})
+	expect(t, "a gang of two", p.Judge(testStart, l, gang), NotYet, CauseWindowBudget)
+	expect(t, "a second task", p.Judge(testStart, l, second), Allowed, CauseNone)
+	second.chargeAll(l, testStart)
+	third := candidate("j-1", 2, 4)
+	at := testStart.Add(time.Hour)
+	expect(t, "while both are open", p.Judge(at, l, third), NotYet, CauseWindowBudget)
+	l.End(at, TaskKey{"j-1", 0}, 1)
+	v := p.Judge(at, l, third)
+	expect(t, "right after the end of one", v, NotYet, CauseWindowBudget)
+	if until := at.Add(time.Minute + 2*time.Second); !v.Until.Equal(until) {
+		t.Errorf("until %s, expected %s", v.Until, until)
+	}
+	expect(t, "just before it leaves the window", p.Judge(at.Add(time.Minute+time.Second), l, third), NotYet, CauseWindowBudget)
+	expect(t, "once it has left", p.Judge(at.Add(time.Minute+2*time.Second), l, third), Allowed, CauseNone)
+	gang.Tasks = append(gang.Tasks, TaskAttempt{TaskKey{"j-2", 2}, 3})
+	gang.Replicas = 3
+	expect(t, "more at once than ever allowed", p.Judge(at.Add(time.Hour), l, gang), Never, CauseWindowBudget)
+}
+
+// All budgets that apply have to agree: the team's and that of the class.
+func TestBudgetsAgree(t *testing.T) {
+	p := testPolicy(map[Scope]Budget{
+		{Team: "red"}:             budget(func(b *Budget) { b.MaxUnavailable = 2 }),
+		{Team: "red", Class: "c"}: budget(func(b *Budget) { b.TaskInterruptions = 0 }),
+	})
+	l := newTestLedger(p)
+	expect(t, "the class forbids it", p.Judge(testStart, l, candidate("j-1", 0, 1)), NotYet, CauseTaskBudget)
+	other := candidate("j-1", 0, 1)
+	other.Class = "d"
+	expect(t, "another class", p.Judge(testStart, l, other), Allowed, CauseNone)
+	other.Down = 2
+	expect(t, "the team forbids it", p.Judge(testStart, l, other), NotYet, CauseUnavailable)
+	blue := candidate("j-2", 0, 1)
+	blue.Team = "blue"
+	expect(t, "no budget", p.Judge(testStart, l, blue), Allowed, CauseNone)
+}
+
+// Work that doesn't save is left to finish, and a service keeps replicas up whatever is allowed.
+func TestWaitsAndReplicas(t *testing.T) {
+	p := testPolicy(map[Scope]Budget{{Team: "red"}: budget(func(b *Budget) { b.MaxUnavailable = 9 })})
+	l := newTestLedger(p)
+	c := candidate("j-1", 0, 1)
+	c.Saves = false
+	expect(t, "it may finish", p.Judge(testStart.Add(59*time.Second), l, c), NotYet, CauseFinishing)
+	expect(t, "the wait is over", p.Judge(testStart.Add(time.Minute), l, c), Allowed, CauseNone)
+	c.Replicas, c.Down = 2, 1
+	expect(t, "the last replica", p.Judge(testStart, l, c), NotYet, CauseUnavailable)
+	c.Down = 0
+	expect(t, "one of two", p.Judge(testStart, l, c), Allowed, CauseNone)
+	c.Team, c.Replicas, c.Down = "blue", 20, 2
+	expect(t, "a third of twenty, no budget", p.Judge(testStart, l, c), NotYet, CauseUnavailable)
+}
+
+// A closed window forbids what wouldn't be over before it begins, by the worst clock; the
+// window's end counts only once it is over by the worst clock.
+func TestClosedWindowWithSkew(t *testing.T) {
+	closed := ClosedWindow{Days: [7]bool{true, true, true, true, true, true, true}, From: 12 * time.Hour, To: 13 * time.Hour, Location: time.UTC}
+	p := testPolicy(map[Scope]Budget{{Team: "red"}: budget(func(b *Budget) { b.Closed = []ClosedWindow{closed} })})
+	l := newTestLedger(p)
+	noon := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		at      time.Time
+		allowed bool
+	}{
+		{noon.Add(-6*time.Second - time.Millisecond), true}, // takes 5 s, and the clock may be 1 s off
+		{noon.Add(-6*time.Second + time.Millisecond), false},
+		{noon, false},
+		{noon.Add(time.Hour), false},
+		{noon.Add(time.Hour + time.Second - time.Millisecond), false},
+		{noon.Add(time.Hour + time.Second), true},
+	} {
+		v := p.Judge(c.at, l, candidate("j-1", 0, 1))
+		if (v.Kind == Allowed) != c.allowed || p.MayMoveNow(c.at, "red", "c", 5*time.Second) != c.allowed {
+			t.Errorf("at %s: %+v", c.at, v)
+		}
+		if until := noon.Add(time.Hour + time.Second); !c.allowed && !v.Until.Equal(until) {
+			t.Errorf("at %s: until %s, expected %s", c.at, v.Until, until)
+		}
+	}
+}
+
+// Windows that adjoin are one; one over midnight belongs to the day on which it begins; a time
+// zone with summer time is gone by; a window without end never opens.
+func TestClosedWindows(t *testing.T) {
+	zone, err := time.LoadLocation("Europe/Berlin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	day := func(days ...time.Weekday) (out [7]bool) {
+		for _, d := range days {
+			out[d] = true
+		}
+		return out
+	}
+	every := day(0, 1, 2, 3, 4, 5, 6)
+	at := func(text string) time.Time {
+		moment, err := time.ParseInLocation("2006-01-02 15:04", text, zone)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return moment
+	}
+	for _, c := range []struct {
+		name      string
+		windows   []ClosedWindow
+		now, open string // open: empty for never
+	}{
+		{"open", []ClosedWindow{{every, 8 * time.Hour, 10 * time.Hour, zone}}, "2026-12-02 11:00", "2026-12-02 11:00"},
+		{"adjoining", []ClosedWindow{{every, 8 * time.Hour, 10 * time.Hour, zone}, {every, 10 * time.Hour, 12 * time.Hour, zone}}, "2026-12-02 09:00", "2026-12-02 12:00"},
+		{"over midnight, from Friday", []ClosedWindow{{day(time.Friday), 22 * time.Hour, 6 * time.Hour, zone}}, "2026-12-05 03:00", "2026-12-05 06:00"},
+		{"over midnight, not from Saturday", []ClosedWindow{{day(time.Friday), 22 * time.Hour, 6 * time.Hour, zone}}, "2026-12-06 03:00", "2026-12-06 03:00"},
+		{"the night clocks go back", []ClosedWindow{{every, 1 * time.Hour, 4 * time.Hour, zone}}, "2026-10-25 01:30", "2026-10-25 04:00"},
+		{"the night clocks go forward", []ClosedWindow{{every, 1 * time.Hour, 4 * time.Hour, zone}}, "2026-03-29 01:30", "2026-03-29 04:00"},
+		{"always", []ClosedWindow{{every, 0, 0, zone}}, "2026-12-02 11:00", ""},
+		{"a whole weekday", []ClosedWindow{{day(time.Wednesday), 0, 0, zone}}, "2026-12-02 11:00", "2026-12-03 00:00"},
+	} {
+		open, ok := openFrom(c.windows, at(c.now), time.Second, 0)
+		if ok != (c.open != "") || ok && !open.Equal(at(c.open)) {
+			t.Errorf("%s: %s %v", c.name, open, ok)
+		}
+	}
+}
--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -14,7 +14,6 @@
 	"github.com/valyala/fasthttp"
 
 	"gingertally/internal/config"
-	"gingertally/internal/wire"
 )
 
 // ClusterOptions say what a cluster on loopback is like.
@@ -23,6 +22,8 @@
 	Controllers int
 	Machines    int
 	Timings     Timings
+	// Elastic: machines can be rented and given back; else they stay as they are.
+	Elastic bool
 	// Teams are the teams; none: one without guarantee or limit.
 	Teams []config.Team
 	// OperatorSettings is the operators' file as text; empty: none.
@@ -36,11 +37,15 @@
 // else.
 type Cluster struct {
 	State       *StateService
+	Cloud       *Cloud
 	History     *History
 	Controllers []*Controller
 	options     ClusterOptions
 	stop        chan struct{}
 	workers     sync.WaitGroup
+
+	mu      sync.Mutex
+	running map[string]*Worker // by machine
 }
 
 // Controller is one controller process.
@@ -76,12 +81,14 @@
 	if err != nil {
 		return nil, err
 	}
-	cloud := &Cloud{Zones: zoneNames}
+	c.Cloud = &Cloud{Zones: zoneNames}
 	for i := range options.Machines {
-		cloud.Machines = append(cloud.Machines, wire.Rental{Ref: MachineName(i), Endpoint: "127.0.0.1:1", Build: MachineType,
-			Yard: zoneOf(i), Status: wire.RentalRunning, HeldS: 1})
+		c.Cloud.add(zoneOf(i))
 	}
-	cloudAddr, err := Serve(cloud.Handle, c.stop)
+	if options.Elastic {
+		c.Cloud.Boot, c.Cloud.Delete = c.startWorker, c.endWorker
+	}
+	cloudAddr, err := Serve(c.Cloud.Handle, c.stop)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +96,9 @@
 		c.Stop()
 		return nil, err
 	}
-	c.startWorkers()
+	for i := range options.Machines {
+		c.startWorker(MachineName(i), zoneOf(i))
+	}
 	return c, nil
 }
 
@@ -187,23 +196,39 @@
 	return body, err
 }
 
-// startWorkers starts the workers, which report from now on.
-func (c *Cluster) startWorkers() {
+// startWorker starts the worker of a machine, which reports from now on.
+func (c *Cluster) startWorker(name, zone string) {
 	addrs := map[string]string{}
 	var names []string
 	for _, controller := range c.Controllers {
 		addrs[controller.Name] = controller.Addr
 		names = append(names, controller.Name)
 	}
-	for i := range c.options.Machines {
-		worker := &Worker{Name: MachineName(i), Zone: zoneOf(i), Timings: c.options.Timings, Controllers: addrs, History: c.History}
-		c.workers.Go(func() {
-			if err := worker.Run(names, c.stop); err != nil {
-				c.History.mu.Lock()
-				c.History.fail("worker %s: %v", worker.Name, err)
-				c.History.mu.Unlock()
-			}
-		})
+	worker := NewWorker(name, zone, c.options.Timings, c.History)
+	worker.Controllers = addrs
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running == nil {
+		c.running = map[string]*Worker{}
+	}
+	c.running[name] = worker
+	c.workers.Go(func() {
+		if err := worker.Run(names, c.stop); err != nil {
+			c.History.mu.Lock()
+			c.History.fail("worker %s: %v", worker.Name, err)
+			c.History.mu.Unlock()
+		}
+	})
+}
+
+// endWorker ends the worker of a machine and all on it.
+func (c *Cluster) endWorker(name string) {
+	c.mu.Lock()
+	worker := c.running[name]
+	delete(c.running, name)
+	c.mu.Unlock()
+	if worker != nil {
+		worker.Delete()
 	}
 }
 
--- a/internal/emulator/cluster_test.go
+++ b/internal/emulator/cluster_test.go
@@ -60,9 +60,20 @@
 // startTestCluster starts three real controllers of this program, with or without the warm
 // standby.
 func startTestCluster(t *testing.T, operatorSettings string) *Cluster {
+	t.Helper()
+	return startCluster(t, ClusterOptions{Machines: 6, OperatorSettings: operatorSettings})
+}
+
+// startElasticCluster is the same with machines that can be rented and given back.
+func startElasticCluster(t *testing.T, operatorSettings string) *Cluster {
+	t.Helper()
+	return startCluster(t, ClusterOptions{Machines: 4, OperatorSettings: operatorSettings, Elastic: true})
+}
+
+func startCluster(t *testing.T, options ClusterOptions) *Cluster {
 	t.Helper()
 	cluster, err := StartCluster(ClusterOptions{
-		Directory: t.TempDir(), Controllers: 3, Machines: 6, OperatorSettings: operatorSettings,
+		Directory: t.TempDir(), Controllers: 3, Machines: options.Machines, OperatorSettings: options.OperatorSettings, Elastic: options.Elastic,
 		Timings: Timings{Report: time.Second, Lease: 15 * time.Second, RunTime: time.Second},
 		Command: func(settings, operatorSettings string) *exec.Cmd {
 			command := exec.Command(os.Args[0])
--- /dev/null
+++ b/internal/emulator/drain_test.go
@@ -0,0 +1,96 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gingertally/internal/daemon"
+)
+
+// drainSettings: of a task that saves, one interruption is allowed.
+const drainSettings = `draining { enabled: true finish_wait { seconds: 2 } budgets { team: "t" task_interruptions: 1 } }`
+
+// Every worker of a cluster on loopback is replaced under load while leaders are killed and
+// paused. However long that takes on a busy machine, the budget holds, no task is dropped or
+// runs twice, and every accepted job comes to its end.
+func TestEveryWorkerIsReplaced(t *testing.T) {
+	cluster := startElasticCluster(t, drainSettings)
+	load, stop := context.WithCancel(t.Context())
+	defer stop()
+	over := make(chan struct{})
+	go func() {
+		users := cluster.Users(5, 2)
+		users.Profile = JobProfile{Run: 4 * time.Second, Saves: true}
+		users.Run(load, 2*time.Minute)
+		close(over)
+	}()
+	old := cluster.Cloud.Machines()
+	leader, _ := leaderOf(t, cluster)
+	requestDrain(t, leader)
+	for fault := 0; !replaced(cluster, old); fault++ {
+		leader, _ := leaderOf(t, cluster)
+		if fault%2 == 0 {
+			leader.Kill()
+			if err := leader.Start(); err != nil {
+				t.Fatal(err)
+			}
+		} else if err := leader.Pause(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		if err := leader.Resume(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	stop()
+	<-over
+	for _, rule := range cluster.History.Broken() {
+		t.Error(rule)
+	}
+	if open := cluster.History.Open(); len(open) > 0 {
+		t.Errorf("%d accepted jobs never came to an end: %v", len(open), open)
+	}
+	interrupted := map[string]int{}
+	for _, halt := range cluster.History.Halts() {
+		if interrupted[halt.Task]++; interrupted[halt.Task] > 1 {
+			t.Errorf("%s was interrupted %d times", halt.Task, interrupted[halt.Task])
+		}
+	}
+	t.Logf("%d starts, %d interruptions", cluster.History.Started(), len(interrupted))
+}
+
+// requestDrain has all machines replaced, two at a time. A repeat of the request changes nothing.
+func requestDrain(t *testing.T, c *Controller) {
+	t.Helper()
+	body := []byte(`{"id":"all","selector":{"all":true},"max_at_once":2,"surge":2}`)
+	for range 2 {
+		response, err := http.Post("http://"+c.Addr+daemon.DrainsPath, "application/json", bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("drain: status %d", response.StatusCode)
+		}
+		if err := response.Body.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// replaced tells whether none of some machines is left.
+func replaced(cluster *Cluster, old []string) bool {
+	there := map[string]bool{}
+	for _, name := range cluster.Cloud.Machines() {
+		there[name] = true
+	}
+	for _, name := range old {
+		if there[name] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/emulator/history.go
+++ b/internal/emulator/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -19,6 +20,8 @@
 	starts   map[uint64]time.Time
 	started  int
 	times    []time.Time // of the starts
+	halts    []Halt
+	placed   map[string]int // starts by machine
 	broken   []string
 }
 
@@ -26,6 +29,8 @@
 type jobHistory struct {
 	team      string
 	tasks     int
+	profile   JobProfile
+	progress  map[string]time.Duration // saved, by task
 	submitted time.Time
 	accepted  time.Time
 	started   time.Time
@@ -35,7 +40,7 @@
 // NewHistory makes an empty history.
 func NewHistory() *History {
 	return &History{on: map[string]string{}, attempts: map[string]string{}, done: map[string]map[string]bool{},
-		jobs: map[string]*jobHistory{}, answers: map[uint64]time.Time{}, starts: map[uint64]time.Time{}}
+		jobs: map[string]*jobHistory{}, placed: map[string]int{}, answers: map[uint64]time.Time{}, starts: map[uint64]time.Time{}}
 }
 
 func (h *History) fail(format string, args ...any) {
@@ -74,6 +79,7 @@
 		h.starts[term] = time.Now()
 	}
 	h.started++
+	h.placed[machine]++
 	h.times = append(h.times, time.Now())
 	key := fmt.Sprintf("%s#%d", task, attempt)
 	if earlier, used := h.attempts[key]; used {
@@ -108,10 +114,71 @@
 	h.done[job][task] = true
 }
 
-func (h *History) submitted(job, team string, tasks int) {
+func (h *History) submitted(job, team string, tasks int, profile JobProfile) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.jobs[job] = &jobHistory{team: team, tasks: tasks, submitted: time.Now()}
+	h.jobs[job] = &jobHistory{team: team, tasks: tasks, profile: profile, progress: map[string]time.Duration{}, submitted: time.Now()}
+}
+
+// JobProfile is what the tasks of a user's jobs are like.
+type JobProfile struct {
+	Run   time.Duration // of a task, give or take a half; 0: as the worker's timings say
+	Saves bool          // a task that is told to stop saves its progress
+}
+
+// Halt is a task's end by a command.
+type Halt struct {
+	At            time.Time
+	Team          string
+	Task, Machine string
+	Repeated      time.Duration // work that is lost
+}
+
+// halted notes that a task was told to stop after it had run for a while, and tells whether its
+// progress is saved.
+func (h *History) halted(job, task, machine string, ran time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[job]
+	if j == nil {
+		return false
+	}
+	halt := Halt{At: time.Now(), Team: j.team, Task: task, Machine: machine}
+	if j.profile.Saves {
+		j.progress[task] += ran
+	} else {
+		halt.Repeated = ran
+	}
+	h.halts = append(h.halts, halt)
+	return j.profile.Saves
+}
+
+// Halts lists the ends of tasks by commands.
+func (h *History) Halts() []Halt {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Halt(nil), h.halts...)
+}
+
+// runTime is how long a task runs on, given how long it would run by default.
+func (h *History) runTime(job, task string, otherwise time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[job]
+	if j == nil || j.profile.Run == 0 {
+		return otherwise
+	}
+	return max(j.profile.Run/2+rand.N(j.profile.Run)-j.progress[task], minRun)
+}
+
+// minRun is how long a task runs at the least.
+const minRun = 100 * time.Millisecond
+
+// StartsOn is how many tasks were started on a machine.
+func (h *History) StartsOn(machine string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.placed[machine]
 }
 
 func (h *History) accepted(job string) {
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -21,6 +21,7 @@
 	First       int // number of the first user, so that users of one history differ
 	History     *History
 	RunTime     time.Duration // that they give as their estimate
+	Profile     JobProfile
 }
 
 const (
@@ -30,6 +31,9 @@
 	submitBudget = 35 * time.Second
 	// pollPause is the pause between two questions about a job.
 	pollPause = time.Second
+	// saveInterval and saveTime are what users say of tasks that save.
+	saveInterval = time.Second
+	saveTime     = 100 * time.Millisecond
 	// firstRef begins the numbers of the users' jobs.
 	firstRef = 100_000
 )
@@ -68,9 +72,13 @@
 }
 
 func (u *Users) submit(ctx context.Context, ref string, tasks int) bool {
-	u.History.submitted(ref, u.Team, tasks)
+	u.History.submitted(ref, u.Team, tasks, u.Profile)
+	mark, save := 0.0, 0.0
+	if u.Profile.Saves {
+		mark, save = saveInterval.Seconds(), saveTime.Seconds()
+	}
 	job := fmt.Appendf(nil, `{"ref":%q,"lot_kind":%q,"owner":%q,"shape":"sweep","urgency":%q,"lots":%d,"vcpus":2,"cards":0,"mem_gb":4,
-		"kit":"i","pull_gb":0.1,"one_zone":false,"apart":false,"loaners":false,"guess_s":%g,"mark_s":0,"stash_s":0}`, ref, u.Class, u.Team, u.Urgency, tasks, u.RunTime.Seconds())
+		"kit":"i","pull_gb":0.1,"one_zone":false,"apart":false,"loaners":false,"guess_s":%g,"mark_s":%g,"stash_s":%g}`, ref, u.Class, u.Team, u.Urgency, tasks, u.RunTime.Seconds(), mark, save)
 	for ctx.Err() == nil {
 		if _, err := u.anyController(submitBudget).Submit(ctx, job); err == nil {
 			u.History.accepted(ref)
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -36,6 +36,33 @@
 	answered time.Time // when the last answered report was sent
 	lots     map[string]*lot
 	changed  chan struct{}
+	deleted  chan struct{} // closed when the machine is gone
+}
+
+// NewWorker makes the worker of a machine.
+func NewWorker(name, zone string, timings Timings, history *History) *Worker {
+	return &Worker{Name: name, Zone: zone, Timings: timings, History: history,
+		lots: map[string]*lot{}, changed: make(chan struct{}, 1), deleted: make(chan struct{})}
+}
+
+// Delete ends the machine and all on it.
+func (w *Worker) Delete() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.deleted)
+	for key := range w.lots {
+		w.remove(key, false)
+	}
+}
+
+// isDeleted tells whether the machine is gone.
+func (w *Worker) isDeleted() bool {
+	select {
+	case <-w.deleted:
+		return true
+	default:
+		return false
+	}
 }
 
 // lot is a task on the machine.
@@ -44,6 +71,8 @@
 	attempt   uint64
 	status    string
 	cause     string
+	kept      bool          // its progress was saved
+	began     time.Time     // when it was started
 	gone      chan struct{} // closed when it leaves the machine
 }
 
@@ -92,7 +121,6 @@
 // Run serves direct commands and reports until stop.
 func (w *Worker) Run(names []string, stop <-chan struct{}) error {
 	w.names, w.session, w.answered = names, 1, time.Now()
-	w.lots, w.changed = map[string]*lot{}, make(chan struct{}, 1)
 	w.target = rand.IntN(len(names))
 	w.http.MaxConnsPerHost, w.http.MaxIdemponentCallAttempts = 1, 1
 	var err error
@@ -104,6 +132,8 @@
 		select {
 		case <-stop:
 			return nil
+		case <-w.deleted:
+			return nil
 		case <-time.After(pause):
 		case <-w.changed:
 			time.Sleep(changePause)
@@ -176,7 +206,7 @@
 	w.seq++
 	r := report{Stall: w.Name, Endpoint: w.endpoint, Build: MachineType, Yard: w.Zone, Shift: w.session, Tick: w.seq, Gavel: w.token, Lots: []reportLot{}}
 	for _, l := range w.lots {
-		r.Lots = append(r.Lots, reportLot{Lot: l.name, Try: l.attempt, Status: l.status, Cause: l.cause, Kept: l.cause == causeDone})
+		r.Lots = append(r.Lots, reportLot{Lot: l.name, Try: l.attempt, Status: l.status, Cause: l.cause, Kept: l.cause == causeDone || l.kept})
 	}
 	return r
 }
@@ -184,7 +214,7 @@
 // obeyAnswer carries out what an answer to a report says, unless its token is too low.
 func (w *Worker) obeyAnswer(body []byte, sent time.Time) {
 	var orders wire.Orders
-	if wire.Unmarshal(body, &orders) != nil || orders.Gavel < w.token {
+	if wire.Unmarshal(body, &orders) != nil || orders.Gavel < w.token || w.isDeleted() {
 		return
 	}
 	if orders.Gavel > w.token {
@@ -206,7 +236,7 @@
 		status = fasthttp.StatusOK
 	case wire.Unmarshal(request.PostBody(), &orders) != nil:
 		status = fasthttp.StatusBadRequest
-	case orders.Gavel >= w.token && orders.Shift == w.session:
+	case orders.Gavel >= w.token && orders.Shift == w.session && !w.isDeleted():
 		status = fasthttp.StatusOK
 		w.token = orders.Gavel
 		w.obey(orders.Orders)
@@ -226,6 +256,7 @@
 		case o.Verb == verbStart && l == nil:
 			w.start(string(key), &lot{name: o.Lot, job: job, attempt: o.Try, status: lotRunning, gone: make(chan struct{})})
 		case o.Verb == verbHalt && l != nil && l.status == lotRunning:
+			l.kept = w.History.halted(l.job, l.name, w.Name, time.Since(l.began))
 			w.end(l, causeHalted)
 		case o.Verb == verbClear && l != nil && l.status == lotEnded:
 			delete(w.lots, string(key))
@@ -235,10 +266,10 @@
 
 // start starts a task; it runs for a while and is done.
 func (w *Worker) start(key string, l *lot) {
-	w.lots[key] = l
+	w.lots[key], l.began = l, time.Now()
 	w.History.startOrdered(w.Name, l.job, l.name, l.attempt, w.token)
 	w.noteChange()
-	runs := w.Timings.RunTime/2 + rand.N(w.Timings.RunTime)
+	runs := w.History.runTime(l.job, l.name, w.Timings.RunTime/2+rand.N(w.Timings.RunTime))
 	go func() {
 		select {
 		case <-l.gone:
--- a/internal/jobstore/drains.go
+++ b/internal/jobstore/drains.go
@@ -35,7 +35,7 @@
 // Drains reads all that is stored of drains.
 func (j *Jobs) Drains(ctx context.Context) (drain.Stored, error) {
 	var stored drain.Stored
-	plans, err := j.DrainPlans(ctx)
+	plans, _, err := j.DrainPlans(ctx)
 	if err != nil {
 		return stored, err
 	}
@@ -65,21 +65,21 @@
 	return stored, nil
 }
 
-// DrainPlans reads all plans.
-func (j *Jobs) DrainPlans(ctx context.Context) ([]drain.StoredPlan, error) {
-	items, _, err := j.store.List(ctx, DrainPlanPrefix)
+// DrainPlans reads all plans, and the revision to watch on from.
+func (j *Jobs) DrainPlans(ctx context.Context) ([]drain.StoredPlan, uint64, error) {
+	items, revision, err := j.store.List(ctx, DrainPlanPrefix)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	var plans []drain.StoredPlan
 	for _, item := range items {
 		plan, err := DecodeDrainPlan(item)
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		plans = append(plans, plan)
 	}
-	return plans, nil
+	return plans, revision, nil
 }
 
 // DecodeDrainPlan reads a plan from its item.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,6 +29,7 @@
 	Standby       Standby
 	Admission     Admission
 	Recovery      recovery.PaceOptions
+	Draining      Draining
 }
 
 // Admission are the settings of admission control.
@@ -57,6 +58,7 @@
 		Weights:   core.DefaultWeights(),
 		Standby:   Standby{QueueBound: 4096, SnapshotInterval: 2 * time.Second, LogBytes: 64 << 20},
 		Recovery:  recovery.PaceOptions{Initial: 10, Highest: 500},
+		Draining:  Draining{FinishWait: 5 * time.Minute},
 		Admission: Admission{Floor: 0.02, EnterBacklog: 2 * time.Minute, ExitBacklog: time.Minute, PolicyAge: 15 * time.Second},
 	}
 }
@@ -121,6 +123,7 @@
 	c.standby(message.Standby, &settings.Standby)
 	c.admission(message.Admission, &settings.Admission, teams)
 	c.recovery(message.Recovery, &settings.Recovery)
+	c.draining(message.Draining, &settings.Draining, teams)
 	return settings, c.err
 }
 
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -69,6 +69,9 @@
 	if c.down {
 		return false
 	}
+	if c.w.drains != nil {
+		c.w.drains.call(c.w.drains.onRelease)
+	}
 	for _, n := range names {
 		if m := c.w.machines[n]; m != nil {
 			m.die()
--- a/internal/simulation/drains.go
+++ b/internal/simulation/drains.go
@@ -24,6 +24,16 @@
 	check  *drainCheck
 	fault  drainFault
 	notes  map[string]int // what came about, and how often
+
+	// what scripts have called when something happens
+	onCordon, onCharge, onRelease []func()
+}
+
+// call calls what waits for something.
+func (d *drainWorld) call(waiting []func()) {
+	for _, fn := range waiting {
+		d.w.after(0, fn)
+	}
 }
 
 // drainFault is a deliberate fault by which tests see a check fail.
@@ -265,6 +275,12 @@
 	}
 	w.drains.check.stored(changes)
 	for _, c := range changes {
+		switch {
+		case strings.HasPrefix(c.Put, cordonPrefix):
+			w.drains.call(w.drains.onCordon)
+		case strings.HasPrefix(c.Put, chargePrefix):
+			w.drains.call(w.drains.onCharge)
+		}
 		id, ok := strings.CutPrefix(c.Put, jobstore.DrainPlanPrefix)
 		if !ok {
 			continue
--- a/internal/simulation/fault_scenarios_test.go
+++ b/internal/simulation/fault_scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -178,6 +179,11 @@
 			notes[what] += n
 		}
 	}
+	if w.drains != nil {
+		for what, n := range w.drains.notes {
+			notes[what] += n
+		}
+	}
 	notes["starts after a confirmed cancellation"] += w.check.startsCancelled
 	for _, j := range s.sortedJobs() {
 		switch {
@@ -197,10 +203,12 @@
 		t.Skip("SIMULATION_FAULT_SCENARIOS gives no number")
 	}
 	from, _ := strconv.ParseUint(os.Getenv("SIMULATION_FROM"), 10, 64)
-	for i := range faultScenarios {
-		t.Run(faultScenarios[i].name, func(t *testing.T) {
+	all := append(slices.Clone(faultScenarios), withDrains(drainScenarios)...)
+	for i := range all {
+		t.Run(all[i].name, func(t *testing.T) {
+			t.Parallel()
 			for k := range n {
-				faultScenarios[i].play(t, from+k, map[string]int{}, os.Getenv("SIMULATION_TRACE") != "")
+				all[i].play(t, from+k, map[string]int{}, os.Getenv("SIMULATION_TRACE") != "")
 			}
 		})
 	}
