Drain: costs bounded by what is drained; tests of the core's part; client calls

Cause: the room for evictions was looked for over all machines by a copy of each, the tasks of a job that are down were counted over all its attempts, and plans that are over were sorted at each tick.

Change: placement.FreeCapacity.FindOpen stops at the first place and uses the pools' bounds; a job without room is looked for once a round; what is down is counted only where a budget or a service depends on it. The operators' calls are in package client. Answers that can't be given carry Retry-After. The deliberate faults of the simulated worlds are in test files.

--- a/cmd/gingertally/drain.go
+++ b/cmd/gingertally/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -12,9 +13,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"gingertally/internal/daemon"
+	"gingertally/internal/client"
 	"gingertally/internal/drain"
 )
 
@@ -56,22 +55,18 @@
 	if c.DryRun {
 		return c.preview(plan)
 	}
-	body, err := postDrain(c.Server, daemon.DrainsPath, plan)
-	if err != nil {
-		return err
-	}
-	return printPlan(body, c.JSON)
+	answer, err := (&client.Client{Addr: c.Server}).StartDrain(plan)
+	return printPlan(answer, err, c.JSON)
 }
 
 // preview shows what a plan would do.
 func (c *drainStartCmd) preview(plan drain.Plan) error {
-	body, err := postDrain(c.Server, daemon.DrainsPath+"/preview", plan)
-	if err != nil || c.JSON {
-		return printJSON(body, err)
-	}
-	var preview drain.Preview
-	if err := json.Unmarshal(body, &preview); err != nil {
-		return fmt.Errorf("%s: %w", c.Server, err)
+	preview, err := (&client.Client{Addr: c.Server}).PreviewDrain(plan)
+	switch {
+	case err != nil:
+		return withCode(err)
+	case c.JSON:
+		return printJSON(preview)
 	}
 	return printTable(os.Stdout, previewText(&preview))
 }
@@ -105,11 +100,8 @@
 
 // change takes the plan to another phase.
 func (a *drainPlanArg) change(verb string) error {
-	body, err := postDrain(a.Server, daemon.DrainsPath+"/"+a.Plan+"/"+verb, nil)
-	if err != nil {
-		return err
-	}
-	return printPlan(body, a.JSON)
+	answer, err := (&client.Client{Addr: a.Server}).ChangeDrain(a.Plan, verb)
+	return printPlan(answer, err, a.JSON)
 }
 
 type drainPauseCmd struct{ drainPlanArg }
@@ -142,8 +134,7 @@
 		return exitError{fmt.Errorf("%s: the leader can't be asked", c.Server), exitGaveUp}
 	}
 	if c.JSON {
-		text, err := json.Marshal(status.Leading.Drains)
-		return printJSON(text, err)
+		return printJSON(status.Leading.Drains)
 	}
 	return printTable(os.Stdout, drainText(status.Leading.Drains))
 }
@@ -182,58 +173,38 @@
 	return text.String()
 }
 
-// drainTimeout leaves a controller time to ask the state service or the leader.
-const drainTimeout = 5 * time.Second
-
-// postDrain sends a call about drains and returns the answer's body.
-func postDrain(server, path string, message any) ([]byte, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + server + path)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	if message != nil {
-		body, err := json.Marshal(message)
-		if err != nil {
-			return nil, err
-		}
-		request.SetBodyRaw(body)
-	}
-	if err := fasthttp.DoTimeout(request, response, drainTimeout); err != nil {
-		return nil, exitError{fmt.Errorf("%s: %w", server, err), exitGaveUp}
-	}
-	body := append([]byte(nil), response.Body()...)
-	switch status := response.StatusCode(); status {
-	case fasthttp.StatusOK:
-		return body, nil
-	case fasthttp.StatusNotFound:
-		return nil, exitError{fmt.Errorf("%s: %s", server, body), exitNotFound}
-	case fasthttp.StatusBadRequest, fasthttp.StatusConflict:
-		return nil, exitError{fmt.Errorf("%s: %s", server, body), exitRefused}
-	default:
-		return nil, exitError{fmt.Errorf("%s: status %d: %s", server, status, body), exitGaveUp}
+// withCode gives an error of a call about drains its exit code.
+func withCode(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, client.ErrNotFound):
+		return exitError{err, exitNotFound}
+	case errors.Is(err, client.ErrRefused), errors.Is(err, client.ErrConflict):
+		return exitError{err, exitRefused}
 	}
+	return exitError{err, exitGaveUp}
 }
 
 // printPlan prints a plan as it now is.
-func printPlan(body []byte, asJSON bool) error {
-	if asJSON {
-		return printJSON(body, nil)
-	}
-	var plan drain.Plan
-	if err := json.Unmarshal(body, &plan); err != nil {
-		return err
-	}
-	_, err := fmt.Printf("%s %s\n", plan.ID, plan.Phase)
+func printPlan(plan drain.Plan, err error, asJSON bool) error {
+	switch {
+	case err != nil:
+		return withCode(err)
+	case asJSON:
+		return printJSON(plan)
+	}
+	_, err = fmt.Printf("%s %s\n", plan.ID, plan.Phase)
 	return err
 }
 
-// printJSON prints a body unless there is an error.
-func printJSON(body []byte, err error) error {
+// printJSON prints a message.
+func printJSON(message any) error {
+	text, err := json.Marshal(message)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Println(string(body))
+	_, err = fmt.Println(string(text))
 	return err
 }
 
--- a/internal/core/drain_bench_test.go
+++ b/internal/core/drain_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 // with all machines in a plan, a tenth of them cordoned and under budgets that let little go.
 func BenchmarkDrain(b *testing.B) {
 	for _, machines := range []int{500, 4000} {
-		for _, mode := range []string{"off", "on", "plan of all"} {
+		for _, mode := range []string{"off", "on", "plan of all", "plan of all, no budgets"} {
 			b.Run(fmt.Sprintf("tick/%d/%s", machines, mode), func(b *testing.B) {
 				e, now, _ := drainedFleet(machines, mode)
 				for b.Loop() {
@@ -36,11 +37,16 @@
 // drainedFleet is a full fleet in one of the modes of BenchmarkDrain.
 func drainedFleet(machines int, mode string) (*Engine, time.Time, []fleet.Report) {
 	cfg := config()
-	if mode != "off" {
+	switch mode {
+	case "off":
+	case "plan of all, no budgets":
+		cfg = drainConfig(nil)
+		cfg.Drain.FinishWait = 0
+	default:
 		cfg = drainConfig(map[drain.Scope]drain.Budget{{Team: "t"}: limit(func(b *drain.Budget) { b.WindowInterruptions, b.Window = 1, time.Hour })})
 	}
 	e, now, reports := busyFleetWith(cfg, machines)
-	if mode == "plan of all" {
+	if strings.HasPrefix(mode, "plan of all") {
 		plan := drain.Plan{ID: "all", Selector: drain.Selector{All: true}, MaxAtOnce: machines / 10, Through: "m-999999", CreatedMS: now.UnixMilli()}
 		e.Step(now, DrainPlanStored{drain.StoredPlan{Plan: plan, Version: 1}})
 		e.Step(now, Listed{})
--- a/internal/core/drain_eviction.go
+++ b/internal/core/drain_eviction.go
@@ -111,29 +111,50 @@
 }
 
 // tasksDown counts the tasks of a job that are down, but for some attempts: replicas that
-// don't run, and of other jobs tasks that were interrupted and don't run again.
+// don't run, and of other jobs tasks that were interrupted and don't run again. It is counted
+// only where something depends on it.
 func (e *Engine) tasksDown(j *pipeline.Job, except []*fleet.Attempt) int {
-	up := map[int]bool{}
-	for a := range e.useOf(j.Ref).attempts {
-		if a.State() == fleet.Running && !a.Leaving() && !e.charged(a) {
-			up[a.Task] = true
-		}
-	}
-	for _, a := range except {
-		up[a.Task] = true
-	}
-	if j.Shape == pipeline.Service {
-		return len(j.Tasks) - len(up)
+	switch {
+	case j.Shape == pipeline.Service:
+		return e.replicasDown(j, except)
+	case !e.cfg.Drain.LimitsUnavailable(j.Team, j.Class):
+		return 0
 	}
 	down := 0
 	for _, task := range e.drains.coordinator.Ledger.ChargedTasks(j.Ref) {
-		if !up[task] && task < len(j.Tasks) && j.Tasks[task].State() != pipeline.Finished {
+		if task < len(j.Tasks) && j.Tasks[task].State() != pipeline.Finished && !e.taskUp(j, task, except) {
 			down++
 		}
 	}
 	return down
 }
 
+// replicasDown counts the replicas of a service that don't run or are leaving, but for some.
+func (e *Engine) replicasDown(j *pipeline.Job, except []*fleet.Attempt) int {
+	up := map[int]bool{}
+	for a := range e.useOf(j.Ref).attempts {
+		if e.isUp(a) || slices.Contains(except, a) {
+			up[a.Task] = true
+		}
+	}
+	return len(j.Tasks) - len(up)
+}
+
+// taskUp tells whether a task runs and stays, or is one of some attempts.
+func (e *Engine) taskUp(j *pipeline.Job, task int, except []*fleet.Attempt) bool {
+	m := e.machines[j.Tasks[task].Machine]
+	if m == nil {
+		return false
+	}
+	a := m.Tasks[fleet.Key{Ref: j.Ref, Task: task}]
+	return a != nil && (e.isUp(a) || slices.Contains(except, a))
+}
+
+// isUp tells whether an attempt runs and isn't to be interrupted.
+func (e *Engine) isUp(a *fleet.Attempt) bool {
+	return a.State() == fleet.Running && !a.Leaving() && !e.charged(a)
+}
+
 // charged tells whether an interruption of an attempt is charged and may be under way.
 func (e *Engine) charged(a *fleet.Attempt) bool {
 	c := e.drains.coordinator.Ledger.Find(drain.TaskKey{Job: a.Ref, Task: a.Task}, a.Number)
--- a/internal/core/drain_harness_test.go
+++ b/internal/core/drain_harness_test.go
@@ -20,6 +20,7 @@
 	jobs   []StoredJob
 	on     map[string][]fleet.TaskReport // what runs on each machine
 	evicts int                           // stops that machines were told
+	rents  []Rent
 }
 
 func drainConfig(budgets map[drain.Scope]drain.Budget) Config {
@@ -86,6 +87,7 @@
 // step moves the engine on and carries out what it asks for.
 func (d *drainBench) step(ev Event) Effects {
 	effects := d.e.Step(d.now, ev)
+	d.rents = append(d.rents, effects.Rent...)
 	for _, names := range effects.Release {
 		for _, name := range names {
 			delete(d.on, name)
--- a/internal/core/drain_room.go
+++ b/internal/core/drain_room.go
@@ -22,10 +22,11 @@
 // roomBooking finds out whether what is to be evicted has room elsewhere, beside all that is
 // moving already. It looks at the machines only once something asks.
 type roomBooking struct {
-	engine *Engine
-	now    time.Time
-	copies map[*placement.Slot]*placement.Slot
-	short  bool // what is moving already has no room
+	engine  *Engine
+	now     time.Time
+	copies  map[*placement.Slot]*placement.Slot
+	without map[string]bool // jobs for which there is no room
+	short   bool            // what is moving already has no room
 }
 
 func (e *Engine) newRoomBooking(now time.Time) *roomBooking {
@@ -36,7 +37,7 @@
 // isn't any. Ahead: machines that are about to be drained don't count.
 func (b *roomBooking) book(g *evictionGroup, ahead bool) bool {
 	if b.copies == nil {
-		b.copies = map[*placement.Slot]*placement.Slot{}
+		b.copies, b.without = map[*placement.Slot]*placement.Slot{}, map[string]bool{}
 		for _, t := range b.engine.drains.sortedMoving() {
 			s := b.find(t.job, b.engine.useOf(t.job.Ref).zones, ahead)
 			if s == nil {
@@ -82,22 +83,20 @@
 }
 
 // find is a place with room for a task of a job, of which so many are in which zone; nil if
-// there is none.
+// there is none. A job that found none finds none again.
 func (b *roomBooking) find(j *pipeline.Job, zones map[string]int, ahead bool) *placement.Slot {
-	for _, p := range b.engine.freeCapacity.Pools {
-		if !p.Allowed(&j.Spec) {
-			continue
-		}
-		for _, s := range p.Slots {
-			if s.Future || ahead && s.Machine.Planned || j.Avoids(b.now, s.Machine.Name) || placement.ZoneRoom(j, s.Zone, zones) < 1 {
-				continue
-			}
-			if c := b.copyOf(s); c.Free(&j.Spec) > 0 {
-				return c
-			}
-		}
+	if b.without[j.Ref] {
+		return nil
+	}
+	found := b.engine.freeCapacity.FindOpen(&j.Spec, func(s *placement.Slot) bool {
+		usable := !(ahead && s.Machine.Planned) && !j.Avoids(b.now, s.Machine.Name) && placement.ZoneRoom(j, s.Zone, zones) > 0
+		return usable && b.copyOf(s).Free(&j.Spec) > 0
+	})
+	if found == nil {
+		b.without[j.Ref] = true
+		return nil
 	}
-	return nil
+	return b.copyOf(found)
 }
 
 func (b *roomBooking) copyOf(s *placement.Slot) *placement.Slot {
--- a/internal/core/draining_test.go
+++ b/internal/core/draining_test.go
@@ -6,6 +6,7 @@
 
 	"gingertally/internal/core/fleet"
 	"gingertally/internal/core/pipeline"
+	"gingertally/internal/core/placement"
 	"gingertally/internal/drain"
 )
 
@@ -289,3 +290,120 @@
 		}
 	}
 }
+
+// A machine that is about to be drained is used only if nothing else has room: what is placed
+// there would have to move again.
+func TestPlannedMachineIsUsedLast(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 1))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	p := drain.Plan{ID: "p", Selector: drain.Selector{Machines: []string{"m-1"}}, MaxAtOnce: 1, CreatedMS: d.now.UnixMilli(), Through: "m-9", Phase: drain.Paused}
+	d.plan(p)
+	if m := d.e.machines["m-1"]; !m.Planned || m.Cordoned {
+		t.Fatalf("planned %v, cordoned %v", m.Planned, m.Cordoned)
+	}
+	more := longJob("j-2", "t", 8)
+	d.step(JobStored{Job: more})
+	d.run(9 * time.Second)
+	if d.runsOn("m-1") != 1 || d.runsOn("m-2") != 8 {
+		t.Errorf("%d on the one to be drained, %d on the other", d.runsOn("m-1"), d.runsOn("m-2"))
+	}
+	rest := longJob("j-3", "t", 2)
+	d.step(JobStored{Job: rest})
+	d.run(9 * time.Second)
+	if d.runsOn("m-1") != 3 {
+		t.Errorf("%d on the one to be drained, though nothing else has room", d.runsOn("m-1"))
+	}
+}
+
+// While a plan is paused nothing more is disrupted, and what is cordoned stays so.
+func TestPausedPlan(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 2))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.drainMachine("m-1")
+	d.run(6 * time.Second)
+	p := d.stored.Plans[0].Plan
+	p.Phase = drain.Paused
+	d.plan(p)
+	d.there("m-2")
+	d.run(60 * time.Second)
+	if d.evicts != 0 || !d.e.machines["m-1"].Cordoned {
+		t.Fatalf("%d evictions, cordoned %v", d.evicts, d.e.machines["m-1"].Cordoned)
+	}
+	p.Phase = drain.Running
+	d.plan(p)
+	d.there("m-3")
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there {
+		t.Errorf("not emptied after it was resumed: %+v", d.e.DrainStatus(d.now))
+	}
+}
+
+// Where nothing else has room, a machine like the drained one is rented first; it isn't given
+// back for idleness while the other is still there.
+func TestReplacementIsRented(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 2))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.plan(drain.Plan{ID: "p", Selector: drain.Selector{All: true}, MaxAtOnce: 1, Surge: 1, CreatedMS: d.now.UnixMilli()})
+	for i := 0; len(d.rents) == 0 && i < 20; i++ {
+		d.run(3 * time.Second)
+	}
+	asked := d.rents
+	if len(asked) != 1 || asked[0].Type != "big" || asked[0].Zone != "a" || asked[0].Count != 1 || d.evicts != 0 {
+		t.Fatalf("asked for %+v, %d evictions", asked, d.evicts)
+	}
+	d.step(Rented{Rent: asked[0], Machines: []string{"m-2"}})
+	d.there("m-2")
+	d.run(60 * time.Second)
+	if _, there := d.on["m-1"]; there || d.runsOn("m-2") != 2 {
+		t.Errorf("not replaced: %v, %+v", d.on, d.e.DrainStatus(d.now))
+	}
+}
+
+// While a large part of the fleet doesn't report, nothing is disrupted by choice.
+func TestLostMachinesPauseDrains(t *testing.T) {
+	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 2))
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2", "m-3")
+	d.run(3 * time.Second)
+	lost := []string{"m-4", "m-5"}
+	for _, name := range lost {
+		d.up(name) // and never again
+	}
+	d.run(15 * time.Second)
+	d.drainMachine("m-1")
+	d.run(9 * time.Second)
+	if d.evicts != 0 || d.e.inState[fleet.Silent] != len(lost) {
+		t.Errorf("%d evictions with %d machines silent", d.evicts, d.e.inState[fleet.Silent])
+	}
+}
+
+// A replica isn't moved to a zone that may take no more of its service.
+func TestNoMoveToAFullZone(t *testing.T) {
+	service := longJob("j-1", "t", 2)
+	service.Record.Spec.Shape, service.Record.Spec.Spread = pipeline.Service, true
+	b := newBench(t, 2, Snapshot{Jobs: []StoredJob{service}})
+	for name, zone := range map[string]string{"m-1": "a", "m-2": "b"} {
+		for seq := uint64(1); seq <= 2; seq++ {
+			b.e.Step(b.now, ReportIn{fleet.Report{Machine: name, Addr: name, Type: "big", Zone: zone, Session: 1, Seq: seq, Token: 2 * (seq - 1), Notice: -1}})
+		}
+	}
+	b.pass(6*time.Second, true)
+	if u := b.e.useOf("j-1"); u.zones["a"] != 1 || u.zones["b"] != 1 {
+		t.Fatalf("not placed as meant: %v", u.zones)
+	}
+	b.e.updateFreeCapacity(b.now)
+	plan := &consolidation{engine: b.e, board: &placement.Board{Now: b.now, LargeGPUWork: func(*placement.Type) *pipeline.Spec { return nil }}, now: b.now,
+		copies: map[*placement.Slot]*placement.Slot{}, emptied: map[*placement.Slot]bool{}, targets: map[*fleet.Machine]bool{}}
+	for _, p := range b.e.freeCapacity.Pools {
+		for _, from := range p.Slots {
+			if to := plan.bestTarget(b.e.jobs["j-1"], from); to != nil {
+				t.Errorf("from %s in zone %s to %s in zone %s", from.Machine.Name, from.Zone, to.Machine.Name, to.Zone)
+			}
+		}
+	}
+}
--- a/internal/core/placement/free_capacity.go
+++ b/internal/core/placement/free_capacity.go
@@ -115,6 +115,22 @@
 	return p.most.CPUs+slack >= sp.CPUs && p.most.GPUs+slack >= sp.GPUs && p.most.MemGB+slack >= sp.MemGB
 }
 
+// FindOpen is the first slot with room for a task of the job that is accepted; nil if there
+// is none.
+func (f *FreeCapacity) FindOpen(sp *pipeline.Spec, accept func(*Slot) bool) *Slot {
+	for _, p := range f.Pools {
+		if !p.Allowed(sp) || !p.mayFit(sp) {
+			continue
+		}
+		for _, s := range p.Slots {
+			if !s.Future && s.Free(sp) > 0 && accept(s) {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
 // EachOpen calls fn for each slot that now has room for a task of the job.
 func (f *FreeCapacity) EachOpen(sp *pipeline.Spec, zone string, fn func(*Slot)) {
 	for _, p := range f.Pools {
--- a/internal/daemon/drains_http.go
+++ b/internal/daemon/drains_http.go
@@ -29,6 +29,9 @@
 // drainCallTimeout bounds an operator's call, which reaches the state service or the leader.
 const drainCallTimeout = 3 * time.Second
 
+// drainRetryAfter is when an operator whose call couldn't be served may come again, in seconds.
+const drainRetryAfter = "1"
+
 // drainError is the body of an answer that isn't 200.
 type drainError struct {
 	Error string `json:"error"`
@@ -52,6 +55,9 @@
 	default:
 		status, body = http.StatusNotFound, encodeJSON(drainError{"no such call"})
 	}
+	if status == http.StatusServiceUnavailable {
+		request.Response.Header.Set(fasthttp.HeaderRetryAfter, drainRetryAfter)
+	}
 	request.SetContentType(contentTypeJSON)
 	request.SetStatusCode(status)
 	request.SetBody(body)
--- a/internal/drain/budget.go
+++ b/internal/drain/budget.go
@@ -72,6 +72,17 @@
 // Limits tells whether any budget applies to a team's jobs of a class.
 func (p *Policy) Limits(team, class string) bool { return len(p.applying(team, class)) > 0 }
 
+// LimitsUnavailable tells whether a budget says how many tasks of a team's job of a class may be
+// down at a time.
+func (p *Policy) LimitsUnavailable(team, class string) bool {
+	for _, b := range p.applying(team, class) {
+		if b.budget.MaxUnavailable != Unlimited {
+			return true
+		}
+	}
+	return false
+}
+
 // longestWindow is the longest time over which interruptions are counted.
 func (p *Policy) longestWindow() time.Duration {
 	longest := time.Duration(0)
--- a/internal/drain/coordinator.go
+++ b/internal/drain/coordinator.go
@@ -387,15 +387,17 @@
 // isOldest tells whether a plan is the first to be forgotten of more plans that are over than
 // are kept. One with machines that stay cordoned isn't forgotten.
 func (c *Coordinator) isOldest(p *planState) bool {
-	finished := 0
+	var finished []*planState
 	for _, o := range c.order {
-		if o.Phase.Final() && len(c.machinesOf(o.ID)) == 0 {
-			if finished++; finished == 1 && o != p {
-				return false
-			}
+		if o.Phase.Final() {
+			finished = append(finished, o)
 		}
 	}
-	return finished > keptPlans
+	if len(finished) <= keptPlans {
+		return false
+	}
+	oldest := slices.IndexFunc(finished, func(o *planState) bool { return len(c.machinesOf(o.ID)) == 0 })
+	return oldest >= 0 && finished[oldest] == p
 }
 
 // settleTime is how long a leader has to know a plan before it can find that none of its
--- a/internal/drain/verdict.go
+++ b/internal/drain/verdict.go
@@ -115,7 +115,7 @@
 		worst = worse(worst, judgeLimits(now, ledger, c, b))
 		worst = worse(worst, p.judgeClosed(now, c, b))
 	}
-	if c.Replicas > 1 && c.Down+len(c.Tasks) > mostReplicasDown(c.Replicas, budgets) {
+	if c.Replicas > 1 && c.Down+len(c.Tasks) > p.mostReplicasDown(c) {
 		worst = worse(worst, Verdict{Kind: NotYet, Cause: CauseUnavailable, Job: c.Job})
 	}
 	if until := c.Since.Add(p.finishWait(budgets)); !c.Saves && c.Replicas == 0 && now.Before(until) {
@@ -126,13 +126,11 @@
 
 // mostReplicasDown is how many of a service's replicas may be down at a time. Whatever a
 // budget says, one stays up.
-func mostReplicasDown(replicas int, budgets []scopedBudget) int {
-	for _, b := range budgets {
-		if b.budget.MaxUnavailable != Unlimited {
-			return replicas - 1 // the budget's own limit is judged beside this one
-		}
+func (p *Policy) mostReplicasDown(c *Candidate) int {
+	if p.LimitsUnavailable(c.Team, c.Class) {
+		return c.Replicas - 1 // the budget's own limit is judged beside this one
 	}
-	return max(1, replicas/serviceUnavailableParts)
+	return max(1, c.Replicas/serviceUnavailableParts)
 }
 
 // worse is the verdict that forbids more.
--- a/internal/emulator/drain_test.go
+++ b/internal/emulator/drain_test.go
@@ -1,13 +1,12 @@
 package emulator
 
 import (
-	"bytes"
 	"context"
-	"net/http"
 	"testing"
 	"time"
 
-	"gingertally/internal/daemon"
+	"gingertally/internal/client"
+	"gingertally/internal/drain"
 )
 
 // drainSettings: of a task that saves, one interruption is allowed.
@@ -66,16 +65,9 @@
 // requestDrain has all machines replaced, two at a time. A repeat of the request changes nothing.
 func requestDrain(t *testing.T, c *Controller) {
 	t.Helper()
-	body := []byte(`{"id":"all","selector":{"all":true},"max_at_once":2,"surge":2}`)
+	plan := drain.Plan{ID: "all", Selector: drain.Selector{All: true}, MaxAtOnce: 2, Surge: 2}
 	for range 2 {
-		response, err := http.Post("http://"+c.Addr+daemon.DrainsPath, "application/json", bytes.NewReader(body))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if response.StatusCode != http.StatusOK {
-			t.Fatalf("drain: status %d", response.StatusCode)
-		}
-		if err := response.Body.Close(); err != nil {
+		if _, err := (&client.Client{Addr: c.Addr}).StartDrain(plan); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/simulation/drains.go
+++ b/internal/simulation/drains.go
@@ -36,17 +36,14 @@
 	}
 }
 
-// drainFault is a deliberate fault by which tests see a check fail.
-type drainFault int
-
-const (
-	noDrainFault           drainFault = iota
-	chargesAfterTheStop               // the leader takes charges for stored before they are sent
-	chargesKeptInMemory               // the state service loses pages of charges
-	cordonsForgotten                  // a new leader finds no cordons
-	gangsChargedAsOneTask             // of a gang, one task is charged
-	closedWindowsForgotten            // controllers know of no closed windows
-)
+// drainFault is a deliberate fault by which tests see a check fail. What isn't set is as it
+// should be.
+type drainFault struct {
+	policy func(drain.Policy) drain.Policy                // that the controllers go by
+	stored func(*drain.Stored)                            // that a new leader reads
+	commit func([]wire.Change) []wire.Change              // that the state service is sent
+	batch  func(n *node, batch []core.Write) []core.Write // that a leader writes
+}
 
 // drainSkew bounds how far the controllers' clocks are off in these worlds.
 const drainSkew = 250 * time.Millisecond
@@ -108,18 +105,10 @@
 
 // nodePolicy are the budgets that the controllers go by.
 func (d *drainWorld) nodePolicy() *drain.Policy {
-	if d == nil {
-		return nil
-	}
-	if d.fault != closedWindowsForgotten {
+	if d.fault.policy == nil {
 		return d.policy
 	}
-	p := *d.policy
-	p.Budgets = map[drain.Scope]drain.Budget{}
-	for scope, b := range d.policy.Budgets {
-		b.Closed = nil
-		p.Budgets[scope] = b
-	}
+	p := d.fault.policy(*d.policy)
 	return &p
 }
 
@@ -248,8 +237,8 @@
 	}
 	var err error
 	snap.Drains, err = n.jobs.Drains(bg)
-	if n.w.drains.fault == cordonsForgotten {
-		snap.Drains.Machines = nil
+	if fault := n.w.drains.fault.stored; fault != nil {
+		fault(&snap.Drains)
 	}
 	return err
 }
@@ -311,59 +300,18 @@
 	})
 }
 
-// spoilCharges carries deliberate faults out on what a leader writes.
-func (d *drainWorld) spoilCharges(changes []wire.Change) []wire.Change {
-	if d == nil || d.fault != chargesKeptInMemory && d.fault != gangsChargedAsOneTask {
+// spoilCommit carries a deliberate fault out on what the state service is sent.
+func (d *drainWorld) spoilCommit(changes []wire.Change) []wire.Change {
+	if d == nil || d.fault.commit == nil {
 		return changes
 	}
-	var out []wire.Change
-	for _, c := range changes {
-		if !strings.HasPrefix(c.Put, chargePrefix) {
-			out = append(out, c)
-			continue
-		}
-		if d.fault == gangsChargedAsOneTask {
-			out = append(out, wire.Change{Put: c.Put, V: oneTaskOfEach(c.V)})
-		}
-	}
-	return out
-}
-
-// oneTaskOfEach keeps of each job on a page of charges those of its first task.
-func oneTaskOfEach(value wire.Raw) wire.Raw {
-	var record drain.ChargePage
-	if wire.Unmarshal(value, &record) != nil {
-		return value
-	}
-	for i := range record.Jobs {
-		job := &record.Jobs[i]
-		job.Entries = job.Entries[:1]
-	}
-	return wire.MustMarshal(record)
+	return d.fault.commit(changes)
 }
 
-// chargeAfterTheStop carries a deliberate fault out: the leader goes on as if its charges were
-// stored, and they are sent only after a while.
-func (n *node) chargeAfterTheStop(batch []core.Write) []core.Write {
-	if n.w.drains == nil || n.w.drains.fault != chargesAfterTheStop {
+// spoilBatch carries a deliberate fault out on what a leader writes.
+func (n *node) spoilBatch(batch []core.Write) []core.Write {
+	if n.w.drains == nil || n.w.drains.fault.batch == nil {
 		return batch
 	}
-	var charges, rest []core.Write
-	for _, w := range batch {
-		if w.Kind == core.WriteCharges {
-			charges = append(charges, w)
-		} else {
-			rest = append(rest, w)
-		}
-	}
-	if len(charges) > 0 {
-		term, jobs := n.term, n.jobs
-		n.step(core.Sending{Batch: charges})
-		n.step(core.Written{Batch: charges, OK: true, Version: term.Stamp})
-		n.w.after(chargeDelay, func() { _, _, _ = jobs.Apply(bg, term, charges) })
-	}
-	return rest
+	return n.w.drains.fault.batch(n, batch)
 }
-
-// chargeDelay is how much too late charges are then stored.
-const chargeDelay = 10 * time.Second
--- a/internal/simulation/drains_test.go
+++ b/internal/simulation/drains_test.go
@@ -3,6 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
+
+	"gingertally/internal/core"
+	"gingertally/internal/drain"
+	"gingertally/internal/wire"
 )
 
 // drainSeeds is how many worlds of each family TestDrainWorlds plays.
@@ -40,15 +45,18 @@
 	for _, c := range []struct {
 		name  string
 		fault drainFault
-		says  []string
+		says  string
 	}{
-		{"charges after the stop", chargesAfterTheStop, []string{"uncharged"}},
-		{"charges kept in memory", chargesKeptInMemory, []string{"uncharged"}},
-		{"cordons forgotten at a takeover", cordonsForgotten, []string{"cordoned"}},
-		{"a gang charged as one task", gangsChargedAsOneTask, []string{"uncharged"}},
-		{"closed windows forgotten", closedWindowsForgotten, []string{"closed"}},
+		{"charges after the stop", drainFault{batch: chargeAfterTheStop}, "uncharged"},
+		{"charges kept in memory", drainFault{commit: dropCharges}, "uncharged"},
+		{"cordons forgotten at a takeover", drainFault{stored: func(s *drain.Stored) { s.Machines = nil }}, "cordoned"},
+		{"a gang charged as one task", drainFault{commit: chargeOneTask}, "uncharged"},
+		{"closed windows forgotten", drainFault{policy: withoutClosedWindows}, "closed"},
+		{"budgets of tasks forgotten", drainFault{policy: withoutTaskBudgets}, "task budget"},
+		{"budgets of windows forgotten", drainFault{policy: withoutWindowBudgets}, "window budget"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			if !faultSeen(c.fault, c.says) {
 				t.Error("no world shows the fault")
 			}
@@ -56,20 +64,88 @@
 	}
 }
 
-// faultSeen tells whether a world with a deliberate fault breaks one of some rules.
-func faultSeen(fault drainFault, says []string) bool {
-	for seed := range uint64(80) {
+// faultSeen tells whether a world with a deliberate fault breaks a rule.
+func faultSeen(fault drainFault, says string) bool {
+	for seed := range uint64(150) {
 		o := options(1000+seed, true)
 		if seed%2 == 0 {
 			o = shortLeases(7000 + seed)
 		}
 		o.Draining, o.DrainFault = true, fault
-		err := NewWorld(o).Run()
-		for _, text := range says {
-			if err != nil && strings.Contains(err.Error(), text) {
-				return true
-			}
+		if err := NewWorld(o).Run(); err != nil && strings.Contains(err.Error(), says) {
+			return true
 		}
 	}
 	return false
 }
+
+// chargeDelay is how much too late charges are stored by chargeAfterTheStop.
+const chargeDelay = 10 * time.Second
+
+// chargeAfterTheStop has the leader go on as if its charges were stored; they are sent only
+// after a while.
+func chargeAfterTheStop(n *node, batch []core.Write) []core.Write {
+	var charges, rest []core.Write
+	for _, w := range batch {
+		if w.Kind == core.WriteCharges {
+			charges = append(charges, w)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	if len(charges) > 0 {
+		term, jobs := n.term, n.jobs
+		n.step(core.Sending{Batch: charges})
+		n.step(core.Written{Batch: charges, OK: true, Version: term.Stamp})
+		n.w.after(chargeDelay, func() { _, _, _ = jobs.Apply(bg, term, charges) })
+	}
+	return rest
+}
+
+// dropCharges has the state service lose pages of charges.
+func dropCharges(changes []wire.Change) (out []wire.Change) {
+	for _, c := range changes {
+		if !strings.HasPrefix(c.Put, chargePrefix) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// chargeOneTask keeps of each job on a page of charges those of one task.
+func chargeOneTask(changes []wire.Change) (out []wire.Change) {
+	for _, c := range changes {
+		var record drain.ChargePage
+		if strings.HasPrefix(c.Put, chargePrefix) && wire.Unmarshal(c.V, &record) == nil {
+			for i := range record.Jobs {
+				record.Jobs[i].Entries = record.Jobs[i].Entries[:1]
+			}
+			c.V = wire.MustMarshal(record)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// changeBudgets is a policy with something changed in each budget.
+func changeBudgets(p drain.Policy, change func(*drain.Budget)) drain.Policy {
+	budgets := map[drain.Scope]drain.Budget{}
+	for scope, b := range p.Budgets {
+		change(&b)
+		budgets[scope] = b
+	}
+	p.Budgets = budgets
+	return p
+}
+
+func withoutClosedWindows(p drain.Policy) drain.Policy {
+	return changeBudgets(p, func(b *drain.Budget) { b.Closed = nil })
+}
+
+func withoutTaskBudgets(p drain.Policy) drain.Policy {
+	return changeBudgets(p, func(b *drain.Budget) { b.TaskInterruptions = drain.Unlimited })
+}
+
+func withoutWindowBudgets(p drain.Policy) drain.Policy {
+	return changeBudgets(p, func(b *drain.Budget) { b.WindowInterruptions, b.Window = drain.Unlimited, 0 })
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -256,7 +256,7 @@
 		return
 	}
 	batch := n.eng.Batch(n.local(), n.limits().TxnOps)
-	batch = n.chargeAfterTheStop(batch)
+	batch = n.spoilBatch(batch)
 	if len(batch) == 0 {
 		return
 	}
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -121,7 +121,7 @@
 	if len(changes) > 0 {
 		s.rev++
 	}
-	changes = s.w.drains.spoilCharges(changes)
+	changes = s.w.drains.spoilCommit(changes)
 	for _, c := range changes {
 		if c.Drop != "" {
 			delete(s.items, c.Drop)
--- a/tools/drain/main.go
+++ b/tools/drain/main.go
@@ -17,8 +17,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/valyala/fasthttp"
 
+	"gingertally/internal/client"
 	"gingertally/internal/config"
 	"gingertally/internal/daemon"
 	"gingertally/internal/drain"
@@ -143,17 +143,9 @@
 
 // request asks some controller for the plan until one takes it; repeats change nothing.
 func (r *replacement) request(plan drain.Plan) error {
-	body, err := json.Marshal(plan)
-	if err != nil {
-		return err
-	}
 	for time.Since(r.began) < r.options.Limit {
 		c := r.cluster.Controllers[r.rng.IntN(len(r.cluster.Controllers))]
-		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		request.SetRequestURI("http://" + c.Addr + daemon.DrainsPath)
-		request.Header.SetMethod(fasthttp.MethodPost)
-		request.SetBodyRaw(body)
-		if err := fasthttp.DoTimeout(request, response, time.Second); err == nil && response.StatusCode() == fasthttp.StatusOK {
+		if _, err := (&client.Client{Addr: c.Addr}).StartDrain(plan); err == nil {
 			return nil
 		}
 		time.Sleep(pollEvery)
