--- a/tools/drain/budgets.go
+++ b/tools/drain/budgets.go
@@ -36,9 +36,9 @@
 }
 
 var teams = []team{
-	{teamRuns, 8, emulator.JobProfile{Run: 12 * time.Second, Saves: true}},
-	{teamDesk, 8, emulator.JobProfile{Run: 6 * time.Second, Saves: true}},
-	{teamBatch, 8, emulator.JobProfile{Run: 8 * time.Second}},
+	{teamRuns, 20, emulator.JobProfile{Run: 40 * time.Second, Saves: true}},
+	{teamDesk, 20, emulator.JobProfile{Run: 15 * time.Second, Saves: true}},
+	{teamBatch, 20, emulator.JobProfile{Run: 20 * time.Second}},
 }
 
 // budgets are the budgets of a run, with the minutes in which the desk is open.
--- a/tools/drain/main.go
+++ b/tools/drain/main.go
@@ -112,7 +112,7 @@
 		u.Team, u.Profile, u.First, u.RunTime = team.name, team.profile, i*1000, team.profile.Run
 		users.Go(func() { u.Run(load, drainBound) })
 	}
-	time.Sleep(5 * reportEvery) // until the cluster is busy
+	time.Sleep(10 * reportEvery) // until the cluster is busy
 	r.began = time.Now()
 	plan := drain.Plan{ID: planID, Selector: drain.Selector{All: true}, MaxAtOnce: r.options.MaxAtOnce, Surge: 2}
 	if err := r.request(plan); err != nil {
