Drain: blocked machines are bypassed; what stood twice in tools, commands and worlds

Cause: a machine that couldn't be cordoned put its plan's whole queue off for two seconds, so that a plan whose first machines are blocked crawled; a paused plan's approved evictions were taken back up to 0.4 s later; a replacement of a machine that was uncordoned was kept from being given back. The tools each had their own command line, status call and leader look-up.

--- a/internal/core/drain_harness_test.go
+++ b/internal/core/drain_harness_test.go
@@ -224,3 +224,14 @@
 	change(&b)
 	return b
 }
+
+// busyAndFree is a bench with all jobs running on m-1, and m-2 free.
+func busyAndFree(t *testing.T, cfg Config, jobs ...StoredJob) *drainBench {
+	t.Helper()
+	d := newDrainBench(t, cfg, jobs...)
+	d.there("m-1")
+	d.run(12 * time.Second)
+	d.there("m-2")
+	d.run(9 * time.Second)
+	return d
+}
--- a/internal/core/draining.go
+++ b/internal/core/draining.go
@@ -96,6 +96,9 @@
 		return
 	}
 	m.Cordoned, m.Planned = cordoned, planned
+	if !cordoned {
+		delete(e.drains.replacements, m.Name) // it stays, so nothing is kept in its place
+	}
 	e.touch(m)
 }
 
@@ -136,6 +139,9 @@
 	}
 	for _, m := range e.machines {
 		e.applyCordon(m)
+		if dm := d.coordinator.Machine(m.Name); dm != nil && dm.Plan == s.Stored.Plan.ID && s.Stored.Plan.Phase != drain.Running {
+			e.revokeEvictions(m.Name)
+		}
 	}
 	e.note("drain plan", "plan", s.Stored.Plan.ID, "phase", s.Stored.Plan.Phase.String())
 }
--- a/internal/core/draining_test.go
+++ b/internal/core/draining_test.go
@@ -12,11 +12,7 @@
 
 // A drained machine is emptied and given back, and its work goes on elsewhere.
 func TestMachineIsDrained(t *testing.T) {
-	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 3))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(9 * time.Second)
+	d := busyAndFree(t, drainConfig(nil), longJob("j-1", "t", 3))
 	d.drainMachine("m-1")
 	d.run(60 * time.Second)
 	if _, there := d.on["m-1"]; there || d.runsOn("m-2") != 3 || d.evicts != 3 {
@@ -29,11 +25,7 @@
 
 // Without a stored charge nothing is stopped; once the store takes it, it is.
 func TestNoEvictionWithoutStoredCharge(t *testing.T) {
-	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 2))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(9 * time.Second)
+	d := busyAndFree(t, drainConfig(nil), longJob("j-1", "t", 2))
 	d.drainMachine("m-1")
 	for i := 0; len(d.stored.Machines) == 0 && i < 100; i++ {
 		d.tick(200 * time.Millisecond)
@@ -58,11 +50,7 @@
 // nothing again.
 func TestNextLeaderSpendsTheCharge(t *testing.T) {
 	budgets := map[drain.Scope]drain.Budget{{Team: "t"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 1 })}
-	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 1))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(9 * time.Second)
+	d := busyAndFree(t, drainConfig(budgets), longJob("j-1", "t", 1))
 	d.drainMachine("m-1")
 	for i := 0; len(d.stored.Charges) == 0 && i < 100; i++ {
 		d.tick(200 * time.Millisecond) // nothing reports meanwhile, so nothing is told to stop
@@ -93,11 +81,7 @@
 	budgets := map[drain.Scope]drain.Budget{{Team: "u"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 0 })}
 	stuck := longJob("j-2", "u", 1)
 	stuck.Record.Spec.Shape = pipeline.Service
-	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 2), stuck)
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(9 * time.Second)
+	d := busyAndFree(t, drainConfig(budgets), longJob("j-1", "t", 2), stuck)
 	d.drainMachine("m-1")
 	d.run(60 * time.Second)
 	if d.evicts != 0 || d.runsOn("m-1") != 3 {
@@ -124,11 +108,7 @@
 		{Team: "t"}: limit(func(b *drain.Budget) { b.Closed = []drain.ClosedWindow{early} }),
 		{Team: "u"}: limit(func(b *drain.Budget) { b.Closed = []drain.ClosedWindow{late} }),
 	}
-	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 1), longJob("j-2", "u", 1))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(6 * time.Second)
+	d := busyAndFree(t, drainConfig(budgets), longJob("j-1", "t", 1), longJob("j-2", "u", 1))
 	d.drainMachine("m-1")
 	for d.now.Before(begin.Add(55 * time.Second)) {
 		d.run(3 * time.Second)
@@ -204,11 +184,7 @@
 
 // An eviction whose answer is lost is judged again, with the charge that it has.
 func TestLostEvictionIsJudgedAgain(t *testing.T) {
-	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 1))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(9 * time.Second)
+	d := busyAndFree(t, drainConfig(nil), longJob("j-1", "t", 1))
 	d.drainMachine("m-1")
 	told := 0
 	for range 20 {
@@ -227,11 +203,7 @@
 
 // A plan that ends between charge and stop: the charge won't be spent, and is taken back.
 func TestUnspentChargeIsVoid(t *testing.T) {
-	d := newDrainBench(t, drainConfig(nil), longJob("j-1", "t", 1))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(9 * time.Second)
+	d := busyAndFree(t, drainConfig(nil), longJob("j-1", "t", 1))
 	d.drainMachine("m-1")
 	for i := 0; len(d.stored.Charges) == 0 && i < 100; i++ {
 		d.tick(200 * time.Millisecond)
@@ -248,11 +220,7 @@
 // Preemption and lost machines aren't forbidden by a budget, and take from what it leaves.
 func TestInvoluntaryTakesFromTheBudget(t *testing.T) {
 	budgets := map[drain.Scope]drain.Budget{{Team: "t"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 1 })}
-	d := newDrainBench(t, drainConfig(budgets), longJob("j-1", "t", 1))
-	d.there("m-1")
-	d.run(12 * time.Second)
-	d.there("m-2")
-	d.run(6 * time.Second)
+	d := busyAndFree(t, drainConfig(budgets), longJob("j-1", "t", 1))
 	delete(d.on, "m-1") // it dies
 	d.run(60 * time.Second)
 	if d.runsOn("m-2") != 1 {
--- a/internal/daemon/drains_http.go
+++ b/internal/daemon/drains_http.go
@@ -49,7 +49,7 @@
 	case path == DrainsPath:
 		status, body = d.createDrain(ctx, request.PostBody())
 	case path == drainPreviewPath:
-		status, body = d.previewDrain(ctx, request.PostBody(), true)
+		status, body = d.previewAnywhere(ctx, request.PostBody())
 	case changes:
 		status, body = d.changeDrain(ctx, name, verb)
 	default:
@@ -98,9 +98,22 @@
 	return status, encodeJSON(drainError{err.Error()})
 }
 
-// previewDrain tells what a plan would do; only the leader knows. Relay: the leader may be
-// asked if this node isn't it.
-func (d *Daemon) previewDrain(ctx context.Context, body []byte, relay bool) (int, []byte) {
+// previewAnywhere tells what a plan would do, by the leader's word.
+func (d *Daemon) previewAnywhere(ctx context.Context, body []byte) (int, []byte) {
+	status, answer := d.previewDrain(body)
+	leader := d.elector.Leader()
+	if status != http.StatusServiceUnavailable || leader == "" || leader == d.settings.Member {
+		return status, answer
+	}
+	relayed, relayedAnswer, err := d.peers.Relay(ctx, leader, fasthttp.MethodPost, drainPreviewPath, append([]byte(nil), body...))
+	if err != nil {
+		return status, answer
+	}
+	return relayed, relayedAnswer
+}
+
+// previewDrain tells what a plan would do, if this node leads.
+func (d *Daemon) previewDrain(body []byte) (int, []byte) {
 	var plan drain.Plan
 	err := json.Unmarshal(body, &plan)
 	if err == nil {
@@ -109,19 +122,14 @@
 	if err != nil {
 		return http.StatusBadRequest, encodeJSON(drainError{err.Error()})
 	}
-	if s := d.session.Load(); s != nil && s.holdsLease() {
-		s.mu.Lock()
-		preview := s.engine.PreviewDrain(time.Now(), plan)
-		s.mu.Unlock()
-		return http.StatusOK, encodeJSON(preview)
-	}
-	if leader := d.elector.Leader(); relay && leader != "" && leader != d.settings.Member {
-		status, answer, err := d.peers.Relay(ctx, leader, fasthttp.MethodPost, drainPreviewPath, append([]byte(nil), body...))
-		if err == nil {
-			return status, answer
-		}
+	s := d.session.Load()
+	if s == nil || !s.holdsLease() {
+		return http.StatusServiceUnavailable, encodeJSON(drainError{"the leader can't be asked"})
 	}
-	return http.StatusServiceUnavailable, encodeJSON(drainError{"the leader can't be asked"})
+	s.mu.Lock()
+	preview := s.engine.PreviewDrain(time.Now(), plan)
+	s.mu.Unlock()
+	return http.StatusOK, encodeJSON(preview)
 }
 
 // encodeJSON is a message in JSON.
--- a/internal/daemon/peer_calls.go
+++ b/internal/daemon/peer_calls.go
@@ -27,7 +27,7 @@
 	case admissionPath:
 		return d.serveExchange(body)
 	case drainPreviewPath:
-		return d.previewDrain(ctx, body, false)
+		return d.previewDrain(body)
 	case StatusPath:
 		return http.StatusOK, d.status(time.Now()).encode()
 	}
--- a/internal/drain/coordinator.go
+++ b/internal/drain/coordinator.go
@@ -31,6 +31,7 @@
 	released int
 	takenIn  time.Time
 	nextLook time.Time // when the queue is looked at again
+	refused  int       // machines in a row that couldn't be cordoned
 	retryAt  time.Time // when a write of the plan is tried again
 	writing  bool
 }
@@ -311,6 +312,7 @@
 	c.machines[name] = m
 	m.move(Cordoned)
 	p.active++
+	p.refused = 0
 	c.active = append(c.active, m)
 	c.sortActive()
 	c.dequeue(p, name)
@@ -333,7 +335,9 @@
 		p.queued[name] = true
 		c.queued[name]++
 	}
-	p.nextLook = now.Add(lookAgain)
+	if p.refused++; p.refused >= len(p.queue) {
+		p.refused, p.nextLook = 0, now.Add(lookAgain)
+	}
 }
 
 // PlanWrite is a plan's record that is to be written over a version of it; Drop: that is to
--- a/internal/drain/coordinator_test.go
+++ b/internal/drain/coordinator_test.go
@@ -211,6 +211,31 @@
 	}
 }
 
+// Machines that can't be drained don't keep a plan from those behind them: all of its queue is
+// looked at in one go, and then again after a pause.
+func TestBlockedMachinesAreBypassed(t *testing.T) {
+	c := newTestCoordinator(testStart, newTestStore().stored(planOf("p", 1, 1)), 1, 4000)
+	for i := range 5 {
+		c.Add(machineID(i))
+	}
+	why := Verdict{Kind: Never, Cause: CauseTaskBudget}
+	for i := range 4 {
+		name, id := c.Next(testStart)
+		if name != machineID(i).Name {
+			t.Fatalf("%q comes after %d that are blocked", name, i)
+		}
+		c.Defer(testStart, name, id, why)
+	}
+	last, id := c.Next(testStart)
+	c.Defer(testStart, last, id, why)
+	if name, _ := c.Next(testStart); last != machineID(4).Name || name != "" {
+		t.Fatalf("%q, then %q", last, name)
+	}
+	if name, _ := c.Next(testStart.Add(lookAgain)); name != machineID(0).Name {
+		t.Errorf("%q after the pause", name)
+	}
+}
+
 // At its deadline a plan ends: what isn't empty is uncordoned, or stays cordoned until an
 // operator cancels.
 func TestDeadline(t *testing.T) {
--- a/internal/emulator/cluster_test.go
+++ b/internal/emulator/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -93,15 +92,12 @@
 func leaderOf(t *testing.T, cluster *Cluster) (*Controller, daemon.Status) {
 	t.Helper()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		for _, c := range cluster.Controllers {
-			var s daemon.Status
-			body, err := c.Get(daemon.StatusPath, 2*time.Second)
-			if err != nil || json.Unmarshal(body, &s) != nil || s.Node != c.Name || s.Leading == nil {
-				continue
-			}
-			if _, start := cluster.History.FirstOf(s.Leading.Term); !start.IsZero() {
-				return c, s
-			}
+		leader, status := cluster.Leader()
+		if leader == nil {
+			continue
+		}
+		if _, start := cluster.History.FirstOf(status.Leading.Term); !start.IsZero() {
+			return leader, status
 		}
 	}
 	t.Fatal("no controller leads and gives starts")
--- a/internal/emulator/controller.go
+++ b/internal/emulator/controller.go
@@ -1,13 +1,17 @@
 package emulator
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"gingertally/internal/daemon"
 )
 
 // Start starts the controller's process.
@@ -57,6 +61,41 @@
 	}
 }
 
+// Program is the command of a controller that is a program of its own.
+func Program(binary string) func(settings, operatorSettings string) *exec.Cmd {
+	return func(settings, operatorSettings string) *exec.Cmd {
+		arguments := []string{"--config", settings}
+		if operatorSettings != "" {
+			arguments = append(arguments, "--operator-settings", operatorSettings)
+		}
+		return exec.Command(binary, arguments...)
+	}
+}
+
+// statusTimeout bounds the wait for a controller's status, which asks the others.
+const statusTimeout = 2 * time.Second
+
+// Status is the status that the controller tells: the leader's, if it can be asked.
+func (c *Controller) Status() (daemon.Status, error) {
+	var status daemon.Status
+	body, err := c.Get(daemon.StatusPath, statusTimeout)
+	if err != nil {
+		return status, err
+	}
+	return status, json.Unmarshal(body, &status)
+}
+
+// Leader is the controller that leads by its own word, with its status; nil if none says so.
+func (c *Cluster) Leader() (*Controller, daemon.Status) {
+	for _, controller := range c.Controllers {
+		status, err := controller.Status()
+		if err == nil && status.Node == controller.Name && status.Leading != nil {
+			return controller, status
+		}
+	}
+	return nil, daemon.Status{}
+}
+
 const (
 	// pauseBound bounds the wait until a process has stopped.
 	pauseBound = 30 * time.Second
--- a/internal/emulator/drain_test.go
+++ b/internal/emulator/drain_test.go
@@ -28,6 +28,7 @@
 	}()
 	old := cluster.Cloud.Machines()
 	leader, _ := leaderOf(t, cluster)
+	previewDrain(t, cluster, len(old))
 	requestDrain(t, leader)
 	for fault := 0; !replaced(cluster, old); fault++ {
 		leader, _ := leaderOf(t, cluster)
@@ -62,6 +63,29 @@
 	t.Logf("%d starts, %d interruptions", cluster.History.Started(), len(interrupted))
 }
 
+// previewDrain asks every controller what a plan for all machines would do; each asks the leader,
+// and nothing comes of it.
+func previewDrain(t *testing.T, cluster *Cluster, machines int) {
+	t.Helper()
+	plan := drain.Plan{ID: "preview", Selector: drain.Selector{All: true}, MaxAtOnce: 3}
+	for _, c := range cluster.Controllers {
+		var preview drain.Preview
+		var err error
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			if preview, err = (&client.Client{Addr: c.Addr}).PreviewDrain(plan); err == nil {
+				break // else no leader is known there for the moment
+			}
+		}
+		if err != nil || preview.Machines != machines || preview.Stages != (machines+2)/3 || len(preview.Listed) != machines {
+			t.Fatalf("%s: %+v, %v", c.Name, preview, err)
+		}
+	}
+	_, status := leaderOf(t, cluster)
+	if len(status.Leading.Drains.Plans) != 0 {
+		t.Errorf("a preview has left %+v", status.Leading.Drains.Plans)
+	}
+}
+
 // requestDrain has all machines replaced, two at a time. A repeat of the request changes nothing.
 func requestDrain(t *testing.T, c *Controller) {
 	t.Helper()
--- a/internal/simulation/drains.go
+++ b/internal/simulation/drains.go
@@ -276,28 +276,17 @@
 		}
 		for _, n := range w.nodes {
 			if n.eng != nil && n.drainsOn() {
-				w.planWatched(n, n.eng, id, w.between(time.Millisecond, 200*time.Millisecond))
+				w.watched(n, n.eng, w.between(time.Millisecond, 200*time.Millisecond), func() { n.takePlan(id) })
 			}
 		}
 	}
 }
 
-// planWatched brings a changed plan to a leader, once the state service can be reached.
-func (w *World) planWatched(n *node, eng *core.Engine, id string, in time.Duration) {
-	life := n.life
-	w.after(in, func() {
-		n.run(life, func() {
-			switch {
-			case n.eng != eng:
-			case n.cutOff() || n.storeDown():
-				w.planWatched(n, eng, id, time.Second)
-			default:
-				if stored, err := n.jobs.DrainPlan(bg, id); err == nil {
-					n.step(core.DrainPlanStored{Stored: stored})
-				}
-			}
-		})
-	})
+// takePlan brings a leader a plan as it is stored.
+func (n *node) takePlan(id string) {
+	if stored, err := n.jobs.DrainPlan(bg, id); err == nil {
+		n.step(core.DrainPlanStored{Stored: stored})
+	}
 }
 
 // spoilCommit carries a deliberate fault out on what the state service is sent.
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -370,7 +370,7 @@
 		}
 		for _, n := range w.nodes {
 			if n.eng != nil {
-				w.watched(n, n.eng, ref, w.between(time.Millisecond, 200*time.Millisecond))
+				w.watched(n, n.eng, w.between(time.Millisecond, 200*time.Millisecond), func() { n.refresh(ref) })
 			}
 		}
 	}
@@ -378,17 +378,17 @@
 	w.drainChanged(changes)
 }
 
-// watched brings a change to a leader, once the state service can be reached.
-func (w *World) watched(n *node, eng *core.Engine, ref string, in time.Duration) {
+// watched has a leader take a change in, once the state service can be reached.
+func (w *World) watched(n *node, eng *core.Engine, in time.Duration, take func()) {
 	life := n.life
 	w.after(in, func() {
 		n.run(life, func() {
 			switch {
 			case n.eng != eng:
 			case n.cutOff() || n.storeDown():
-				w.watched(n, eng, ref, time.Second)
+				w.watched(n, eng, time.Second, take)
 			default:
-				n.refresh(ref)
+				take()
 			}
 		})
 	})
--- a/tools/drain/main.go
+++ b/tools/drain/main.go
@@ -7,12 +7,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"sync"
 	"time"
 
@@ -20,7 +18,6 @@
 
 	"gingertally/internal/client"
 	"gingertally/internal/config"
-	"gingertally/internal/daemon"
 	"gingertally/internal/drain"
 	"gingertally/internal/emulator"
 )
@@ -73,9 +70,7 @@
 		Timings:          emulator.Timings{Report: reportEvery, Lease: lease, RunTime: runTime},
 		Teams:            []config.Team{{Name: teamRuns}, {Name: teamDesk}, {Name: teamBatch}},
 		OperatorSettings: budgets.settings(o.Ignore),
-		Command: func(settings, operatorSettings string) *exec.Cmd {
-			return exec.Command(o.Binary, "--config", settings, "--operator-settings", operatorSettings)
-		},
+		Command:          emulator.Program(o.Binary),
 	})
 	if err != nil {
 		return err
@@ -173,7 +168,7 @@
 
 // fault kills or pauses the leader, if there is one.
 func (r *replacement) fault() {
-	leader, _ := r.leader()
+	leader, _ := r.cluster.Leader()
 	if leader == nil {
 		return
 	}
@@ -197,25 +192,13 @@
 	r.killed++
 }
 
-// leader is the controller that leads, and what it tells of the drain.
-func (r *replacement) leader() (*emulator.Controller, *drain.Status) {
-	for _, c := range r.cluster.Controllers {
-		var s daemon.Status
-		body, err := c.Get(daemon.StatusPath, time.Second)
-		if err == nil && json.Unmarshal(body, &s) == nil && s.Node == c.Name && s.Leading != nil {
-			return c, s.Leading.Drains
-		}
-	}
-	return nil, nil
-}
-
 // showStuck prints why machines aren't empty.
 func (r *replacement) showStuck() {
-	_, status := r.leader()
-	if status == nil {
+	_, status := r.cluster.Leader()
+	if status.Leading == nil || status.Leading.Drains == nil {
 		return
 	}
-	for _, p := range status.Plans {
+	for _, p := range status.Leading.Drains.Plans {
 		fmt.Println(p.ID, p.PhaseName, p.Machines)
 		for _, m := range p.Waiting {
 			fmt.Println("  ", m.Name, m.State, m.Reason)
--- a/tools/failover/killer.go
+++ b/tools/failover/killer.go
@@ -63,7 +63,7 @@
 // and returns it with its term.
 func (k *killer) settled() (*emulator.Controller, uint64) {
 	for end := time.Now().Add(settleBound); time.Now().Before(end); time.Sleep(5 * pollEvery) {
-		s, err := status(k.cluster.Controllers[k.rng.IntN(len(k.cluster.Controllers))])
+		s, err := k.cluster.Controllers[k.rng.IntN(len(k.cluster.Controllers))].Status()
 		if err != nil || s.Leading == nil || s.Leading.Term != k.cluster.History.Term() || len(s.Versions) < len(k.cluster.Controllers) {
 			continue
 		}
@@ -194,7 +194,7 @@
 // phases notes the phases of the last takeover as the new leader tells them.
 func (k *killer) phases() {
 	for _, c := range k.cluster.Controllers {
-		s, err := status(c)
+		s, err := c.Status()
 		if err != nil || s.Leading == nil || s.Standby == nil || s.Standby.LastTakeover == nil {
 			continue
 		}
--- a/tools/failover/main.go
+++ b/tools/failover/main.go
@@ -5,7 +5,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -96,11 +95,7 @@
 		Timings:          emulator.Timings{Report: o.ReportEvery, Lease: o.Lease, RunTime: o.RunTime},
 		OperatorSettings: operatorText(o),
 		Command: func(settings, operatorSettings string) *exec.Cmd {
-			arguments := []string{"--config", settings}
-			if operatorSettings != "" {
-				arguments = append(arguments, "--operator-settings", operatorSettings)
-			}
-			command := exec.Command(o.Binary, arguments...)
+			command := emulator.Program(o.Binary)(settings, operatorSettings)
 			command.Env = append(os.Environ(), "LOG_LEVEL=info")
 			return command
 		},
@@ -114,13 +109,3 @@
 	result.note(cluster.History)
 	return nil
 }
-
-// status reads a controller's status.
-func status(c *emulator.Controller) (nodeStatus, error) {
-	var s nodeStatus
-	body, err := c.Get("/statusz", time.Second)
-	if err != nil {
-		return s, err
-	}
-	return s, json.Unmarshal(body, &s)
-}
--- a/tools/outage/main.go
+++ b/tools/outage/main.go
@@ -6,12 +6,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"time"
@@ -95,13 +93,7 @@
 	cluster, err := emulator.StartCluster(emulator.ClusterOptions{
 		Directory: directory, Controllers: 3, Machines: o.Machines, OperatorSettings: settings,
 		Timings: emulator.Timings{Report: reportEvery, Lease: lease, RunTime: runTime},
-		Command: func(settings, operatorSettings string) *exec.Cmd {
-			arguments := []string{"--config", settings}
-			if operatorSettings != "" {
-				arguments = append(arguments, "--operator-settings", operatorSettings)
-			}
-			return exec.Command(o.Binary, arguments...)
-		},
+		Command: emulator.Program(o.Binary),
 	})
 	if err != nil {
 		return err
@@ -183,9 +175,8 @@
 func settled(cluster *emulator.Cluster) (daemon.Status, error) {
 	for end := time.Now().Add(settleBound); time.Now().Before(end); time.Sleep(pollEvery) {
 		for _, c := range cluster.Controllers {
-			var s daemon.Status
-			body, err := c.Get(daemon.StatusPath, time.Second)
-			if err == nil && json.Unmarshal(body, &s) == nil && s.Leading != nil && s.Leading.Recovery.State == "normal" {
+			s, err := c.Status()
+			if err == nil && s.Leading != nil && s.Leading.Recovery.State == "normal" {
 				return s, nil
 			}
 		}
--- a/tools/surge/loopback.go
+++ b/tools/surge/loopback.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +12,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"gingertally/internal/config"
-	"gingertally/internal/daemon"
 	"gingertally/internal/emulator"
 	"gingertally/tools/plots"
 )
@@ -59,9 +56,7 @@
 		Directory: directory, Controllers: 3, Machines: loopbackMachines, Teams: teams,
 		Timings:          emulator.Timings{Report: time.Second, Lease: 15 * time.Second, RunTime: loopbackRun},
 		OperatorSettings: fmt.Sprintf(loopbackSettings, !o.Without),
-		Command: func(settings, operatorSettings string) *exec.Cmd {
-			return exec.Command(o.Binary, "--config", settings, "--operator-settings", operatorSettings)
-		},
+		Command:          emulator.Program(o.Binary),
 	})
 	if err != nil {
 		return err
@@ -87,30 +82,25 @@
 
 // endLeader kills the leader and starts it again.
 func endLeader(cluster *emulator.Cluster) {
-	for _, c := range cluster.Controllers {
-		var s daemon.Status
-		body, err := c.Get(daemon.StatusPath, time.Second)
-		if err != nil || json.Unmarshal(body, &s) != nil || s.Node != c.Name || s.Leading == nil {
-			continue
-		}
-		if err := c.Signal(syscall.SIGKILL); err != nil {
-			fmt.Println("kill:", err)
-		}
-		c.WaitEnd(time.Second)
-		if err := c.Start(); err != nil {
-			fmt.Println("start:", err)
-		}
+	c, _ := cluster.Leader()
+	if c == nil {
+		fmt.Println("no leader to end")
 		return
 	}
-	fmt.Println("no leader to end")
+	if err := c.Signal(syscall.SIGKILL); err != nil {
+		fmt.Println("kill:", err)
+	}
+	c.WaitEnd(time.Second)
+	if err := c.Start(); err != nil {
+		fmt.Println("start:", err)
+	}
 }
 
 // showAdmission prints what the controllers apply.
 func showAdmission(cluster *emulator.Cluster) {
 	for _, c := range cluster.Controllers {
-		var s daemon.Status
-		body, err := c.Get(daemon.StatusPath, time.Second)
-		if err != nil || json.Unmarshal(body, &s) != nil || s.Admission == nil {
+		s, err := c.Status()
+		if err != nil || s.Admission == nil {
 			continue
 		}
 		a := s.Admission
