--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -460,6 +460,7 @@
 		if eff.Reply == nil || !eff.Reply.OK || !n.holdsLease() {
 			return 503, reply, nil
 		}
+		n.w.drainAnswered(r.Machine, *eff.Reply)
 		return 200, *eff.Reply, nil
 	}
 	if relayed || !n.health.Serves(n.local()) {
@@ -485,5 +486,6 @@
 	if eff.Reply == nil || !eff.Reply.OK || !n.holdsLease() {
 		return 503, core.Reply{}
 	}
+	n.w.drainAnswered(r.Machine, *eff.Reply)
 	return 200, *eff.Reply
 }
--- a/tools/drain/main.go
+++ b/tools/drain/main.go
@@ -31,6 +31,7 @@
 	Seed      uint64        `default:"1" help:"Of the choices."`
 	Limit     time.Duration `default:"20m" help:"After which the replacement counts as stuck."`
 	Page      string        `help:"File for the page with plots (HTML)."`
+	Keep      string        `help:"Directory for the controllers' logs; else they are removed."`
 }
 
 // The cluster.
@@ -59,11 +60,15 @@
 
 // run plays the replacement and reports on it.
 func run(o options) error {
-	directory, err := os.MkdirTemp("", "drain")
-	if err != nil {
-		return err
+	directory := o.Keep
+	if directory == "" {
+		temporary, err := os.MkdirTemp("", "drain")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = os.RemoveAll(temporary) }()
+		directory = temporary
 	}
-	defer func() { _ = os.RemoveAll(directory) }()
 	budgets := newBudgets(time.Now())
 	cluster, err := emulator.StartCluster(emulator.ClusterOptions{
 		Directory: directory, Controllers: 3, Machines: o.Machines, Elastic: true,
--- a/tools/drain/report.go
+++ b/tools/drain/report.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"gingertally/internal/emulator"
 	"gingertally/tools/plots"
 )
 
@@ -28,6 +29,7 @@
 		fmt.Printf("  %-6s %4d interruptions; %s: %d, allowed %d; work repeated: %s\n", u.Team, u.Interruptions, u.What, u.Used, u.Allowed, u.Repeated.Round(time.Millisecond))
 		if u.Used > u.Allowed && !r.options.Ignore {
 			broken = append(broken, "budget of "+u.Team)
+			r.list(halts, u.Team)
 		}
 	}
 	intervals := r.intervals()
@@ -55,6 +57,15 @@
 	return nil
 }
 
+// list prints the interruptions of a team.
+func (*replacement) list(halts []emulator.Halt, team string) {
+	for _, h := range halts {
+		if h.Team == team {
+			fmt.Printf("    %s %s on %s\n", h.At.Format("15:04:05.000"), h.Task, h.Machine)
+		}
+	}
+}
+
 // intervals are the times from one machine's release to the next.
 func (r *replacement) intervals() *hdrhistogram.Histogram {
 	h := hdrhistogram.New(lowestMS, highestMS, digits)
