--- a/internal/core/drain_eviction.go
+++ b/internal/core/drain_eviction.go
@@ -37,7 +37,7 @@
 }
 
 // workOn lists what is on a machine, but for what is leaving or has not been reported yet.
-func (e *Engine) workOn(m *fleet.Machine, now time.Time) *machineWork {
+func (e *Engine) workOn(now time.Time, m *fleet.Machine) *machineWork {
 	work := &machineWork{}
 	seen := map[string]bool{}
 	for _, a := range sortedAttempts(m) {
@@ -387,7 +387,7 @@
 		if !e.mayDisrupt(now) {
 			continue
 		}
-		for _, group := range e.workOn(m, now).groups {
+		for _, group := range e.workOn(now, m).groups {
 			if e.judge(now, group).Kind == drain.Allowed && booking.book(group, false) {
 				e.evict(now, group)
 			}
--- a/internal/core/drain_preview.go
+++ b/internal/core/drain_preview.go
@@ -19,6 +19,7 @@
 	}
 	plan.Through = e.drains.newest
 	preview := &drain.Preview{}
+	plan.CreatedMS = now.UnixMilli()
 	interrupted := map[drain.Scope]int{}
 	for _, name := range slices.Sorted(maps.Keys(e.machines)) {
 		m := e.machines[name]
@@ -28,8 +29,8 @@
 		stage := preview.Machines / plan.MaxAtOnce
 		preview.Machines++
 		preview.Stages = stage + 1
-		listed := drain.PreviewMachine{Name: m.Name, Stage: stage + 1, Blocked: e.mayCordon(now, m).String()}
-		for _, group := range e.workOn(m, now).groups {
+		listed := drain.PreviewMachine{Name: m.Name, Stage: stage + 1, Blocked: e.mayCordon(now, m, plan.End()).String()}
+		for _, group := range e.workOn(now, m).groups {
 			scope := drain.Scope{Team: group.job.Team, Class: group.job.Class}
 			interrupted[scope] += len(group.attempts)
 			listed.Work = append(listed.Work, drain.PreviewWork{Scope: scope, Job: group.job.Ref, Tasks: len(group.attempts), Verdict: e.judge(now, group).String()})
--- a/internal/core/drain_round.go
+++ b/internal/core/drain_round.go
@@ -74,7 +74,7 @@
 			c.Gone(name)
 			continue
 		}
-		if why := e.mayCordon(now, m); why.Kind != drain.Allowed {
+		if why := e.mayCordon(now, m, c.PlanDeadline(plan)); why.Kind != drain.Allowed {
 			c.Defer(now, name, plan, why)
 			continue
 		}
@@ -86,19 +86,20 @@
 }
 
 // mayCordon tells whether cordoning a machine would come to anything soon: nothing there is
-// without hope of leaving, or waits for long.
-func (e *Engine) mayCordon(now time.Time, m *fleet.Machine) drain.Verdict {
+// without hope of leaving by a plan's deadline, or waits for long.
+func (e *Engine) mayCordon(now time.Time, m *fleet.Machine, deadline time.Time) drain.Verdict {
 	if m.State() != fleet.Live || m.Draining {
 		return drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseUnheard}
 	}
-	work := e.workOn(m, now)
+	work := e.workOn(now, m)
 	if work.gangStarting {
 		return drain.Verdict{Kind: drain.NotYet, Cause: drain.CauseLeaving}
 	}
+	if v := e.judgeAll(now, work, deadline); v.Kind == drain.Never {
+		return v
+	}
 	for _, group := range work.groups {
-		v := e.judge(now, group)
-		late := v.Kind == drain.NotYet && v.Cause == drain.CauseClosed && v.Until.Sub(now) > cordonAhead
-		if v.Kind == drain.Never || late {
+		if v := group.verdict; v.Kind == drain.NotYet && v.Cause == drain.CauseClosed && v.Until.Sub(now) > cordonAhead {
 			return v
 		}
 	}
@@ -143,11 +144,11 @@
 	if dm.State() == drain.Cordoned {
 		c.Move(dm, drain.Emptying)
 	}
-	work := e.workOn(m, now)
+	work := e.workOn(now, m)
 	for _, group := range work.groups {
 		group.candidate.Since = dm.Since
 	}
-	verdict := e.judgeAll(now, work, c.Deadline(dm))
+	verdict := e.judgeAll(now, work, c.PlanDeadline(dm.Plan))
 	if verdict.Kind == drain.Never {
 		e.note("machine can't be emptied", "machine", m.Name, "why", verdict.String())
 		c.Defer(now, m.Name, dm.Plan, verdict)
@@ -172,12 +173,13 @@
 	}
 }
 
-// judgeAll judges all work on a machine. What may leave only after the deadline never will.
+// judgeAll judges all work on a machine, and returns the verdict that forbids the most. What may
+// leave only after the deadline never will.
 func (e *Engine) judgeAll(now time.Time, work *machineWork, deadline time.Time) drain.Verdict {
 	worst := drain.Verdict{}
 	for _, group := range work.groups {
 		v := e.judge(now, group)
-		if v.Kind == drain.NotYet && !deadline.IsZero() && v.Until.After(deadline) && group.candidate.Replicas > 0 {
+		if v.Kind == drain.NotYet && !deadline.IsZero() && e.leavesFrom(now, group, v).After(deadline) {
 			v.Kind, v.Cause = drain.Never, drain.CauseDeadline
 		}
 		group.verdict = v
@@ -187,3 +189,16 @@
 	}
 	return worst
 }
+
+// leavesFrom is the earliest time at which a group may leave, as far as is known: by its own end,
+// or once its verdict allows it.
+func (e *Engine) leavesFrom(now time.Time, g *evictionGroup, v drain.Verdict) time.Time {
+	allowed, ends := v.Until, e.endOf(now, g.attempts[0])
+	switch {
+	case g.candidate.Replicas > 0:
+		return allowed
+	case v.OnlyEnds || ends.Before(allowed):
+		return ends
+	}
+	return allowed
+}
--- a/internal/core/draining_test.go
+++ b/internal/core/draining_test.go
@@ -96,6 +96,24 @@
 	}
 }
 
+// A task that may not be interrupted and won't end before the plan's deadline: nothing else on its
+// machine is interrupted in vain.
+func TestDeadlineProtectsWork(t *testing.T) {
+	budgets := map[drain.Scope]drain.Budget{{Team: "u"}: limit(func(b *drain.Budget) { b.TaskInterruptions = 0 })}
+	for _, deadline := range []time.Duration{time.Minute, 0} {
+		d := busyAndFree(t, drainConfig(budgets), longJob("j-1", "t", 2), longJob("j-2", "u", 1))
+		d.plan(drain.Plan{ID: "p", Selector: drain.Selector{Machines: []string{"m-1"}}, MaxAtOnce: 1, Deadline: deadline, CreatedMS: d.now.UnixMilli()})
+		d.run(30 * time.Second)
+		want := 2
+		if deadline > 0 {
+			want = 0
+		}
+		if d.evicts != want {
+			t.Errorf("deadline %s: %d evictions, %d expected; %+v", deadline, d.evicts, want, d.e.DrainStatus(d.now).Plans)
+		}
+	}
+}
+
 // One may move only by night, the other only by day: each goes in its time.
 func TestNightAndDay(t *testing.T) {
 	every := [7]bool{true, true, true, true, true, true, true}
--- a/internal/drain/coordinator.go
+++ b/internal/drain/coordinator.go
@@ -271,8 +271,8 @@
 // Surge is how many replacements a machine's plan may rent ahead.
 func (c *Coordinator) Surge(m *Machine) int { return c.plans[m.Plan].Surge }
 
-// Deadline is when a machine's plan has to be through; zero if there is no bound.
-func (c *Coordinator) Deadline(m *Machine) time.Time { return c.plans[m.Plan].end() }
+// PlanDeadline is when a plan has to be through; zero if there is no bound.
+func (c *Coordinator) PlanDeadline(plan string) time.Time { return c.plans[plan].End() }
 
 // NextActive lists machines that are being drained, in turns, each at most once.
 func (c *Coordinator) NextActive(most int) []*Machine {
@@ -374,7 +374,7 @@
 // nextRecord is what a plan's record is to become by itself.
 func (c *Coordinator) nextRecord(now time.Time, p *planState, newest string, complete bool) (next Plan, changes bool) {
 	next = p.Plan
-	switch end := p.end(); {
+	switch end := p.End(); {
 	case p.Phase.Final():
 		return next, c.isOldest(p)
 	case !end.IsZero() && now.After(end):
--- a/internal/drain/plan.go
+++ b/internal/drain/plan.go
@@ -112,8 +112,8 @@
 		p.Surge == o.Surge && p.Deadline == o.Deadline && p.KeepCordoned == o.KeepCordoned
 }
 
-// end is the plan's deadline; zero if it has none.
-func (p *Plan) end() time.Time {
+// End is the plan's deadline; zero if it has none.
+func (p *Plan) End() time.Time {
 	if p.Deadline == 0 {
 		return time.Time{}
 	}
--- a/internal/drain/verdict.go
+++ b/internal/drain/verdict.go
@@ -83,6 +83,8 @@
 	Scope Scope     // whose budget; empty: nobody's
 	Job   string    // which job it is about
 	Until time.Time // zero: not known
+	// OnlyEnds says that no budget will ever allow it: it has to come to its end.
+	OnlyEnds bool
 }
 
 // String returns the verdict as operators see it.
@@ -135,7 +137,16 @@
 
 // worse is the verdict that forbids more.
 func worse(a, b Verdict) Verdict {
-	if b.Kind > a.Kind || b.Kind == a.Kind && b.Kind == NotYet && b.Until.After(a.Until) {
+	switch {
+	case a.Kind != b.Kind:
+		if b.Kind > a.Kind {
+			return b
+		}
+	case b.OnlyEnds != a.OnlyEnds:
+		if b.OnlyEnds {
+			return b
+		}
+	case b.Kind == NotYet && b.Until.After(a.Until):
 		return b
 	}
 	return a
@@ -178,7 +189,7 @@
 	if c.Replicas > 0 {
 		kind = Never
 	}
-	return Verdict{Kind: kind, Cause: cause, Scope: scope, Job: c.Job}
+	return Verdict{Kind: kind, Cause: cause, Scope: scope, Job: c.Job, OnlyEnds: true}
 }
 
 // judgeClosed tells whether a candidate would leave outside all closed windows of a budget.
