--- /dev/null
+++ b/internal/jobstore/drains_test.go
@@ -0,0 +1,49 @@
+package jobstore
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gingertally/internal/drain"
+	"gingertally/internal/wire"
+)
+
+// Pages of drains and the largest plan fit the smallest value of all deployments, in the JSON form
+// that the state service counts in, with the longest numbers.
+func TestDrainValuesFit(t *testing.T) {
+	const limit = 4000 // of 4 KiB, as the daemon sets it
+	now := time.Unix(1_800_000_000, 0)
+	pages := 0
+	newName := func() string { pages++; return fmt.Sprintf("1-%d", pages) }
+	policy := &drain.Policy{}
+	plan := drain.Plan{ID: "replace-all", Selector: drain.Selector{All: true}, MaxAtOnce: 1000, Through: "m-999999", CreatedMS: now.UnixMilli()}
+	c := drain.NewCoordinator(now, policy, drain.Stored{Plans: []drain.StoredPlan{{Plan: plan, Version: 1}}}, newName, func() int { return limit })
+	for i := range 300 {
+		name := fmt.Sprintf("m-%06d", i)
+		c.Add(drain.MachineID{Name: name})
+		c.Cordon(now, name, plan.ID)
+		task := drain.TaskKey{Job: fmt.Sprintf("j-%06d", i), Task: 99_999}
+		c.Ledger.Charge(now, "collect-ops", "script-read", task, math.MaxUint64, drain.Involuntary)
+		c.Ledger.End(now, task, math.MaxUint64)
+	}
+	var values []any
+	for _, w := range c.Writes(math.MaxInt) {
+		values = append(values, w.Record)
+	}
+	for _, w := range c.Ledger.Writes(now, math.MaxInt) {
+		values = append(values, w.Record)
+	}
+	if len(values) < 10 || len(values) > 20 {
+		t.Errorf("300 machines and charges take %d pages", len(values))
+	}
+	for i := range 100 {
+		plan.Selector.Machines = append(plan.Selector.Machines, fmt.Sprintf("m-%06d", i))
+	}
+	for _, value := range append(values, plan) {
+		if size, err := wire.JSONSize(wire.MustMarshal(value)); err != nil || size > limit {
+			t.Errorf("%T takes %d bytes, %d at the most (%v)", value, size, limit, err)
+		}
+	}
+}
