Drain: fields that nobody read, and two conditions that stood twice, are gone

Cause: draining.since and planState.released were written and never read; workOn wrote again what interruptedWith does, consolidation what isGang does.

Change: they are taken out, or use the one function. No decision changes.

--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -146,7 +146,7 @@
 		}
 		j := v.engine.jobs[a.Ref]
 		if j == nil || a.State() != fleet.Running || a.Stopping || j.Checkpoint == 0 || v.now.Sub(a.RunStart) < settledRun ||
-			(j.Shape == pipeline.Gang && len(j.Tasks) > 1) || !v.engine.mayMoveByChoice(v.now, a, j) {
+			isGang(j) || !v.engine.mayMoveByChoice(v.now, a, j) {
 			return candidate{}
 		}
 		longest = max(longest, v.engine.expectedRun(j)-v.now.Sub(a.RunStart))
--- a/internal/core/drain_eviction.go
+++ b/internal/core/drain_eviction.go
@@ -45,14 +45,11 @@
 		if a.Leaving() || j == nil || j.Over() || a.Foreign {
 			continue
 		}
-		attempts := []*fleet.Attempt{a}
-		if isGang(j) {
-			if seen[a.Ref] {
-				continue
-			}
-			seen[a.Ref] = true
-			attempts = e.attemptsOf(a.Ref)
+		if isGang(j) && seen[a.Ref] {
+			continue
 		}
+		seen[a.Ref] = true
+		attempts := e.interruptedWith(j, a)
 		switch {
 		case !allReported(attempts):
 			work.gangStarting = work.gangStarting || isGang(j)
--- a/internal/core/draining.go
+++ b/internal/core/draining.go
@@ -15,7 +15,6 @@
 // draining is a leader's part in drains. A nil one stands for none.
 type draining struct {
 	coordinator  *drain.Coordinator
-	since        time.Time               // when the term began
 	replacements map[string]*replacement // by the machine that is replaced
 	moving       map[fleet.Key]*movingTask
 	own          map[*fleet.Machine]time.Time // that the scheduler empties by its own choice, under budgets, and since when
@@ -34,7 +33,6 @@
 	pageLimit := func() int { return e.cfg.MaxPerValue }
 	return &draining{
 		coordinator:  drain.NewCoordinator(now, e.cfg.Drain, stored, e.newPageName, pageLimit),
-		since:        now,
 		replacements: map[string]*replacement{},
 		moving:       map[fleet.Key]*movingTask{},
 		own:          map[*fleet.Machine]time.Time{},
--- a/internal/drain/coordinator.go
+++ b/internal/drain/coordinator.go
@@ -28,7 +28,6 @@
 	queued   map[string]bool
 	deferred map[string]Verdict // why machines in the queue couldn't be drained when last looked at
 	active   int                // machines being drained
-	released int
 	takenIn  time.Time
 	nextLook time.Time // when the queue is looked at again
 	refused  int       // machines in a row that couldn't be cordoned
@@ -98,8 +97,6 @@
 	case p == nil || p.Phase == Cancelled || p.Phase == Completed:
 		delete(c.machines, m.Name)
 		c.roster.remove(m)
-	case m.state == Released:
-		p.released++
 	case m.state.active():
 		p.active++
 		c.active = append(c.active, m)
@@ -193,9 +190,6 @@
 			p.active--
 		}
 	}
-	if to == Released && p != nil {
-		p.released++
-	}
 	if to == Planned || to == Uncordoned {
 		delete(c.machines, m.Name)
 		c.roster.remove(m)
