review: case 1, a controller that leads again answers from its former term

When a controller's term ends and it claims the lead again within five seconds, the engine of the former term answers users until the new term has read its records: a job that users were told is done is called running again.

--- /dev/null
+++ b/review/testdata/case1/main.go
@@ -0,0 +1,161 @@
+// Command case1 plays: the state service refuses the leader alone, another controller leads, a job ends
+// there, the other controllers end, and the first one is served again and leads once more. Meanwhile users
+// ask it for the job again and again.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"gingertally/review/testdata/standin"
+)
+
+func main() { os.Exit(run()) }
+
+const rounds = 4
+
+func run() int {
+	record, err := standin.NewRecord(os.Args[1])
+	if err != nil {
+		fmt.Println(err)
+		return standin.CantRun
+	}
+	d, err := standin.Start(standin.LotsAlmaty(), record)
+	if d != nil {
+		defer d.Stop()
+	}
+	if err != nil {
+		return standin.Exit(record, standin.CantRun, "can't start: %v", err)
+	}
+	user := d.NewUser()
+	told := &told{final: map[string]string{}, record: record}
+	for round := range rounds {
+		if problem := play(d, user, told, round); problem != "" {
+			return standin.Exit(record, standin.CantRun, "round %d: %s", round, problem)
+		}
+	}
+	if len(told.broken) > 0 {
+		return standin.Exit(record, standin.Broken, "went_back broken %d times, first: %s", len(told.broken), told.broken[0])
+	}
+	return standin.Exit(record, standin.Held, "went_back held")
+}
+
+// told holds the final states that users were told.
+type told struct {
+	mu     sync.Mutex
+	record *standin.Record
+	final  map[string]string
+	broken []string
+}
+
+// ask asks a controller about a job and checks the answer against what was told before the request.
+func (t *told) ask(user *standin.User, c *standin.Controller, ref string, last *string) string {
+	t.mu.Lock()
+	before := t.final[ref]
+	t.mu.Unlock()
+	status, state := user.Get(c, ref)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	text := fmt.Sprintf("%d %s", status, state.Status)
+	if text != *last {
+		t.record.Printf("user: get %s at %s: %s", ref, c.Name, text)
+		*last = text
+	}
+	if status != http.StatusOK {
+		if status == http.StatusNotFound && before != "" {
+			t.broken = append(t.broken, fmt.Sprintf("%s was %s, then 404 at %s", ref, before, c.Name))
+		}
+		return ""
+	}
+	if before != "" && state.Status != before {
+		t.broken = append(t.broken, fmt.Sprintf("%s was told as %s, then as %s by %s", ref, before, state.Status, c.Name))
+		t.record.Printf("BROKEN: %s", t.broken[len(t.broken)-1])
+	}
+	if state.Status == "done" || state.Status == "aborted" {
+		t.final[ref] = state.Status
+	}
+	return state.Status
+}
+
+func play(d *standin.Deployment, user *standin.User, told *told, round int) string {
+	record := d.Record
+	var leader *standin.Controller
+	settled := func() bool {
+		leader, _ = d.Leader()
+		if leader == nil || !leader.Running() {
+			return false
+		}
+		for _, w := range d.Workers {
+			if node, _ := w.Node(); node != leader.Name {
+				return false
+			}
+		}
+		return true
+	}
+	if !standin.WaitFor(30*time.Second, settled) {
+		return "nobody leads"
+	}
+	ref := fmt.Sprintf("j-%06d", 700+round)
+	d.Upload(ref, standin.PhotoScoreInfo(7*time.Second))
+	if !user.Submit(standin.PhotoScore(ref, 1, 7)) {
+		return "not accepted"
+	}
+	if !standin.WaitFor(10*time.Second, func() bool { return d.On(ref+"/0") != "" }) {
+		return "not started"
+	}
+	record.Printf("leader: %s", leader.Name)
+	if standin.Trouble() {
+		record.Printf("trouble: the state service refuses %s", leader.Name)
+		d.State.Refuse(leader.Name, true)
+	}
+	last := ""
+	done := func() bool {
+		for _, c := range d.Controllers {
+			if told.ask(user, c, ref, &last) == "done" {
+				return true
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		return false
+	}
+	if !standin.WaitFor(25*time.Second, done) {
+		return "job not done"
+	}
+	var ended []*standin.Controller
+	killed := time.Now()
+	if standin.Trouble() {
+		for _, c := range d.Controllers {
+			if c != leader {
+				record.Printf("trouble: %s is killed", c.Name)
+				c.Kill()
+				ended = append(ended, c)
+			}
+		}
+		time.Sleep(3200 * time.Millisecond)
+		record.Printf("trouble over: the state service serves %s", leader.Name)
+		d.State.Refuse(leader.Name, false)
+	}
+	var users sync.WaitGroup
+	end := time.Now().Add(2500 * time.Millisecond)
+	for range 4 {
+		users.Go(func() {
+			user, last := d.NewUser(), ""
+			for time.Now().Before(end) {
+				told.ask(user, leader, ref, &last)
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	users.Wait()
+	time.Sleep(time.Until(killed.Add(6 * time.Second)))
+	for _, c := range ended {
+		record.Printf("%s is started again", c.Name)
+		if err := c.Start(); err != nil {
+			return err.Error()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/review/testdata/standin/site.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// LotsAlmaty returns options like the site dala-lots-almaty: three controllers, and some of its machines.
+func LotsAlmaty() Options {
+	return Options{
+		Binary: "target/gingertally", Controllers: 3, Zones: []string{"astana-yard", "almaty-yard"},
+		Report: 3 * time.Second, Lease: 45 * time.Second, Cancel: 65 * time.Second, GangWaitS: 35, GangPeerS: 4,
+		State: StateLimits{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 32}, Latency: 5 * time.Millisecond,
+		CloudRPS: 6, ListLagS: 4, CPUShare: 0.144, MemoryMB: 234, MaxSockets: 3500, SkewMS: 25,
+		Teams: []map[string]any{{"name": "valuers", "cpus": 0.0, "cpus_max": 0.0, "gpus": 24.0, "gpus_max": 88.0}},
+		Objectives: []map[string]any{
+			{"kind": "finished", "class": "photo-score", "within_s": 100.0, "share": 0.75},
+		},
+		Types: []MachineType{
+			{Label: "baler-32", VCPUs: 32, MemGB: 128, LocalGB: 50, PullGBPerS: 0.15, Hourly: 2.09, SpotPrice: 0.79, ReadyS: 30,
+				Yards: []string{"astana-yard", "almaty-yard"}},
+			{Label: "harrow-24g", VCPUs: 24, Cards: 2, MemGB: 96, LocalGB: 90, PullGBPerS: 0.12, Hourly: 5.8, SpotPrice: 2.01,
+				ReadyS: 45, Yards: []string{"astana-yard", "almaty-yard"}},
+		},
+		Machines: []Machines{{"harrow-24g", "astana-yard", 3}, {"harrow-24g", "almaty-yard", 2}, {"baler-32", "astana-yard", 1}},
+	}
+}
+
+// PhotoScore returns a submission of the class photo-score.
+func PhotoScore(ref string, lots int, guess float64) map[string]any {
+	return map[string]any{
+		"ref": ref, "lot_kind": "photo-score", "owner": "valuers", "shape": "sweep", "urgency": "normal", "lots": lots,
+		"vcpus": 5.0, "cards": 1.0, "mem_gb": 27.0, "kit": "img-01", "pull_gb": 0.1, "builds": nil, "yard": nil,
+		"one_zone": false, "apart": false, "loaners": true, "guess_s": guess, "mark_s": 0.0, "stash_s": 0.0, "due_s": nil,
+	}
+}
+
+// PhotoScoreInfo returns what workers know of such a job, whose tasks run for a time.
+func PhotoScoreInfo(run time.Duration) JobInfo {
+	return JobInfo{Run: run, CPUs: 5, GPUs: 1, MemGB: 27, Image: "img-01", Fetch: 800 * time.Millisecond}
+}
+
+// Trouble reports whether the case is run with its disruption.
+func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
+// Exit prints a verdict, writes it to the record and returns the exit code.
+func Exit(record *Record, code int, format string, args ...any) int {
+	text := fmt.Sprintf(format, args...)
+	record.Printf("verdict: %s", text)
+	fmt.Println(text)
+	return code
+}
