--- a/review/1/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,6 @@
 # disruption. Needs the build of the deploy file and review/build.sh.
 set -u
 cd "$(dirname "$0")/../.."
-timeout -k 1 119 target/review/case1 review/1/record.txt
+timeout -k 1 119 target/review/case3 review/3/record.txt
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/testdata/case1/main.go
+++ b/review/testdata/case3/main.go
@@ -1,4 +1,4 @@
-// Command case1 plays: the state service refuses the leader alone, another controller leads, a job ends
+// Command case3 plays: the state service refuses the leader alone, another controller leads, a job ends
 // there, the other controllers end, and the first one is served again and leads once more. Meanwhile users
 // ask it for the job again and again.
 package main
@@ -23,7 +23,7 @@
 		fmt.Println(err)
 		return standin.CantRun
 	}
-	d, err := standin.Start(standin.LotsAlmaty(), record)
+	d, err := standin.Start(standin.LivestockMart(), record)
 	if d != nil {
 		defer d.Stop()
 	}
@@ -99,8 +99,8 @@
 		return "nobody leads"
 	}
 	ref := fmt.Sprintf("j-%06d", 700+round)
-	d.Upload(ref, standin.PhotoScoreInfo(7*time.Second))
-	if !user.Submit(standin.PhotoScore(ref, 1, 7)) {
+	d.Upload(ref, standin.WeightTicketInfo(7*time.Second))
+	if !user.Submit(standin.WeightTicketRead(ref, 1, 7)) {
 		return "not accepted"
 	}
 	if !standin.WaitFor(10*time.Second, func() bool { return d.On(ref+"/0") != "" }) {
@@ -150,7 +150,7 @@
 		})
 	}
 	users.Wait()
-	time.Sleep(time.Until(killed.Add(6 * time.Second)))
+	time.Sleep(time.Until(killed.Add(5 * time.Second)))
 	for _, c := range ended {
 		record.Printf("%s is started again", c.Name)
 		if err := c.Start(); err != nil {
--- a/review/testdata/standin/deployment.go
+++ b/review/testdata/standin/deployment.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -326,7 +327,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if other := d.on[lot]; other != "" && other != machine {
-		d.Twice = append(d.Twice, fmt.Sprintf("%s on %s while on %s", lot, machine, other))
+		d.Twice = append(d.Twice, fmt.Sprintf("%s started on %s while on %s", lot, machine, other))
+		d.Record.Printf("BROKEN: %s started on %s while on %s", lot, machine, other)
 	}
 	d.on[lot] = machine
 	if d.OnStart != nil {
@@ -457,3 +459,23 @@
 	u.d.Record.Printf("user: withdraw %s at %s: %d %s", ref, c.Name, status, state.Status)
 	return status, state
 }
+
+// StartedTwice lists the tasks that started on one machine while on another.
+func (d *Deployment) StartedTwice() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.Twice...)
+}
+
+// Running returns how many tasks of a job run.
+func (d *Deployment) Running(ref string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for lot := range d.on {
+		if strings.HasPrefix(lot, ref+"/") {
+			n++
+		}
+	}
+	return n
+}
--- a/review/testdata/standin/state.go
+++ b/review/testdata/standin/state.go
@@ -200,6 +200,9 @@
 			return
 		}
 		late, atOnce, slow := s.late()
+		if rand.IntN(50) == 0 {
+			slow += 200*time.Millisecond + rand.N(200*time.Millisecond) // occasionally a few hundred
+		}
 		time.Sleep(s.latency + slow)
 		if s.isRefused(controller) {
 			answer(w, http.StatusServiceUnavailable, wire.ErrorMessage{Error: "unavailable"})
