--- a/review/testdata/standin/deployment.go
+++ b/review/testdata/standin/deployment.go
@@ -363,21 +363,27 @@
 	return d.on[lot]
 }
 
-// Leader returns the controller that most workers got their last 200 from, and the highest token.
+// Leader returns the controller that most workers with the highest token got their last 200 from, and that
+// token. A few may have got theirs through another controller.
 func (d *Deployment) Leader() (*Controller, uint64) {
 	var highest uint64
-	name := ""
 	for _, w := range d.Workers {
-		if node, gavel := w.Node(); node != "" && gavel >= highest {
-			name, highest = node, gavel
+		_, gavel := w.Node()
+		highest = max(highest, gavel)
+	}
+	count := map[string]int{}
+	for _, w := range d.Workers {
+		if node, gavel := w.Node(); node != "" && gavel == highest {
+			count[node]++
 		}
 	}
+	var leader *Controller
 	for _, c := range d.Controllers {
-		if c.Name == name {
-			return c, highest
+		if count[c.Name] > 0 && (leader == nil || count[c.Name] > count[leader.Name]) {
+			leader = c
 		}
 	}
-	return nil, 0
+	return leader, highest
 }
 
 // WaitFor waits until a condition holds, for a bounded time.
