--- a/review/testdata/case1/main.go
+++ b/review/testdata/case1/main.go
@@ -61,18 +61,10 @@
 	user := d.NewUser()
 	var leader *standin.Controller
 	settled := func() bool {
-		leader, _ = d.Leader()
-		if leader == nil || !leader.Running() {
-			return false
-		}
-		for _, w := range d.Workers {
-			if node, _ := w.Node(); node != leader.Name {
-				return false
-			}
-		}
-		return true
+		leader = d.Settled()
+		return leader != nil
 	}
-	if !standin.WaitFor(20*time.Second, settled) {
+	if !standin.WaitFor(30*time.Second, settled) {
 		return "nobody leads"
 	}
 	if round == 0 {
@@ -100,7 +92,7 @@
 	}
 	time.Sleep(700 * time.Millisecond)
 	if !standin.Trouble() {
-		time.Sleep(32 * time.Second)
+		time.Sleep(28 * time.Second)
 		return ""
 	}
 	record.Printf("trouble: the state service refuses %s", leader.Name)
--- a/review/testdata/case2/main.go
+++ b/review/testdata/case2/main.go
@@ -153,7 +153,8 @@
 	if status, state := user.Get(d.Controllers[0], catalogue); status != http.StatusOK {
 		return standin.Exit(record, standin.CantRun, "catalogue isn't known at first: %d %s", status, state.Status)
 	}
-	end := time.Now().Add(96 * time.Second)
+	first := time.Now().Add(1200 * time.Millisecond) // the leader has ended by then
+	end := time.Now().Add(97300 * time.Millisecond)
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	all := map[string]*answers{}
@@ -162,7 +163,7 @@
 		all[ref] = a
 		group.Go(func() {
 			user := d.NewUser()
-			time.Sleep(rand.N(200 * time.Millisecond))
+			time.Sleep(time.Until(first) + rand.N(200*time.Millisecond))
 			for time.Now().Before(end) {
 				sent := time.Now()
 				status := ask(d, user, ref)
@@ -227,11 +228,11 @@
 	defer restarts.Wait()
 	for next := time.Now(); next.Before(end); next = next.Add(every) {
 		time.Sleep(time.Until(next))
-		leader, token := d.Leader()
-		if leader == nil || !leader.Running() {
+		var leader *standin.Controller
+		if !standin.WaitFor(5*time.Second, func() bool { leader = d.LeaderByStatus(); return leader != nil }) {
 			continue
 		}
-		d.Record.Printf("trouble: %s, leader with token %d, is killed", leader.Name, token)
+		d.Record.Printf("trouble: %s, the leader, is killed", leader.Name)
 		leader.Kill()
 		restarts.Go(func() {
 			time.Sleep(backIn)
--- a/review/testdata/case3/main.go
+++ b/review/testdata/case3/main.go
@@ -1,6 +1,6 @@
-// Command case3 plays: the state service refuses the leader alone, another controller leads, a job ends
-// there, the other controllers end, and the first one is served again and leads once more. Meanwhile users
-// ask it for the job again and again.
+// Command case3 plays: the state service refuses the leader alone, another controller leads, and a job ends there.
+// Then the state service refuses that one alone, and the first one may lead again. Meanwhile users ask the first
+// one for the job again and again.
 package main
 
 import (
@@ -15,7 +15,7 @@
 
 func main() { os.Exit(run()) }
 
-const rounds = 4
+const rounds = 7
 
 func run() int {
 	record, err := standin.NewRecord(os.Args[1])
@@ -84,23 +84,15 @@
 	record := d.Record
 	var leader *standin.Controller
 	settled := func() bool {
-		leader, _ = d.Leader()
-		if leader == nil || !leader.Running() {
-			return false
-		}
-		for _, w := range d.Workers {
-			if node, _ := w.Node(); node != leader.Name {
-				return false
-			}
-		}
-		return true
+		leader = d.Settled()
+		return leader != nil
 	}
 	if !standin.WaitFor(30*time.Second, settled) {
 		return "nobody leads"
 	}
 	ref := fmt.Sprintf("j-%06d", 700+round)
-	d.Upload(ref, standin.WeightTicketInfo(7*time.Second))
-	if !user.Submit(standin.WeightTicketRead(ref, 1, 7)) {
+	d.Upload(ref, standin.WeightTicketInfo(5500*time.Millisecond))
+	if !user.Submit(standin.WeightTicketRead(ref, 1, 6)) {
 		return "not accepted"
 	}
 	if !standin.WaitFor(10*time.Second, func() bool { return d.On(ref+"/0") != "" }) {
@@ -124,22 +116,17 @@
 	if !standin.WaitFor(25*time.Second, done) {
 		return "job not done"
 	}
-	var ended []*standin.Controller
-	killed := time.Now()
+	second := d.LeaderByStatus()
 	if standin.Trouble() {
-		for _, c := range d.Controllers {
-			if c != leader {
-				record.Printf("trouble: %s is killed", c.Name)
-				c.Kill()
-				ended = append(ended, c)
-			}
+		if second == nil || second == leader {
+			return "nobody else leads"
 		}
-		time.Sleep(3200 * time.Millisecond)
-		record.Printf("trouble over: the state service serves %s", leader.Name)
+		record.Printf("trouble: the state service serves %s again, and refuses %s, which leads now", leader.Name, second.Name)
 		d.State.Refuse(leader.Name, false)
+		d.State.Refuse(second.Name, true)
 	}
 	var users sync.WaitGroup
-	end := time.Now().Add(2500 * time.Millisecond)
+	end := time.Now().Add(4 * time.Second)
 	for range 4 {
 		users.Go(func() {
 			user, last := d.NewUser(), ""
@@ -150,12 +137,9 @@
 		})
 	}
 	users.Wait()
-	time.Sleep(time.Until(killed.Add(5 * time.Second)))
-	for _, c := range ended {
-		record.Printf("%s is started again", c.Name)
-		if err := c.Start(); err != nil {
-			return err.Error()
-		}
+	if standin.Trouble() {
+		record.Printf("trouble over")
+		d.State.Refuse(second.Name, false)
 	}
 	return ""
 }
--- a/review/testdata/standin/deployment.go
+++ b/review/testdata/standin/deployment.go
@@ -103,10 +103,7 @@
 	mu    sync.Mutex
 	jobs  map[string]*JobInfo
 	on    map[string]string // machine of each task that runs
-	done  map[string]bool
-	Twice []string // tasks that started on one machine while on another
-	// OnStart, if set, is called for each task that starts, with mu held.
-	OnStart func(lot, machine string)
+	Twice []string          // tasks that started on one machine while on another
 }
 
 // Start starts a deployment.
@@ -117,7 +114,7 @@
 	}
 	d := &Deployment{
 		Options: options, Record: record, directory: directory, stop: make(chan struct{}),
-		jobs: map[string]*JobInfo{}, on: map[string]string{}, done: map[string]bool{},
+		jobs: map[string]*JobInfo{}, on: map[string]string{},
 	}
 	d.State = newState(options.State, options.Latency, d.stop)
 	d.Cloud = &Cloud{types: options.Types, release: d.release}
@@ -276,9 +273,6 @@
 	<-c.ended
 }
 
-// Signal sends a signal to the process.
-func (c *Controller) Signal(signal syscall.Signal) { _ = c.process.Process.Signal(signal) }
-
 // Running reports whether the process runs.
 func (c *Controller) Running() bool {
 	select {
@@ -321,8 +315,6 @@
 	d.jobs[ref] = &info
 }
 
-func (d *Deployment) progress(string) time.Duration { return 0 }
-
 func (d *Deployment) taskStarted(lot, machine string, try uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -331,9 +323,6 @@
 		d.Record.Printf("BROKEN: %s started on %s while on %s", lot, machine, other)
 	}
 	d.on[lot] = machine
-	if d.OnStart != nil {
-		d.OnStart(lot, machine)
-	}
 	d.Record.Printf("worker %s: %s try %d runs", machine, lot, try)
 }
 
@@ -344,18 +333,10 @@
 		delete(d.on, lot)
 	}
 	if done {
-		d.done[lot] = true
 		d.Record.Printf("worker %s: %s done", machine, lot)
 	}
 }
 
-// Done reports whether a task is done.
-func (d *Deployment) Done(lot string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.done[lot]
-}
-
 // On returns the machine that a task runs on.
 func (d *Deployment) On(lot string) string {
 	d.mu.Lock()
@@ -485,3 +466,44 @@
 	}
 	return n
 }
+
+// LeaderByStatus returns the controller that says that it leads with a valid lease, as operators see it; nil if
+// none does.
+func (d *Deployment) LeaderByStatus() *Controller {
+	client := &http.Client{Timeout: 1500 * time.Millisecond}
+	for _, c := range d.Controllers {
+		response, err := client.Get("http://" + c.Client + "/statusz")
+		if err != nil {
+			continue // it doesn't run
+		}
+		var status struct {
+			Node    string          `json:"node"`
+			Leading json.RawMessage `json:"leading"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&status)
+		_ = response.Body.Close()
+		if err == nil && status.Node == c.Name && len(status.Leading) > 0 {
+			return c
+		}
+	}
+	return nil
+}
+
+// Settled returns the leader if all machines have its token and had an answer lately; else nil.
+func (d *Deployment) Settled() *Controller {
+	leader := d.LeaderByStatus()
+	var highest uint64
+	for _, w := range d.Workers {
+		_, gavel := w.Node()
+		highest = max(highest, gavel)
+	}
+	for _, w := range d.Workers {
+		w.mu.Lock()
+		current := w.ended() || w.gavel == highest && highest > 0 && time.Since(w.renewed) < 2*d.Options.Report+time.Second && w.lastNode != ""
+		w.mu.Unlock()
+		if !current {
+			return nil
+		}
+	}
+	return leader
+}
--- a/review/testdata/standin/site.go
+++ b/review/testdata/standin/site.go
@@ -27,20 +27,6 @@
 	}
 }
 
-// PhotoScore returns a submission of the class photo-score.
-func PhotoScore(ref string, lots int, guess float64) map[string]any {
-	return map[string]any{
-		"ref": ref, "lot_kind": "photo-score", "owner": "valuers", "shape": "sweep", "urgency": "normal", "lots": lots,
-		"vcpus": 5.0, "cards": 1.0, "mem_gb": 27.0, "kit": "img-01", "pull_gb": 0.1, "builds": nil, "yard": nil,
-		"one_zone": false, "apart": false, "loaners": true, "guess_s": guess, "mark_s": 0.0, "stash_s": 0.0, "due_s": nil,
-	}
-}
-
-// PhotoScoreInfo returns what workers know of such a job, whose tasks run for a time.
-func PhotoScoreInfo(run time.Duration) JobInfo {
-	return JobInfo{Run: run, CPUs: 5, GPUs: 1, MemGB: 27, Image: "img-01", Fetch: 800 * time.Millisecond}
-}
-
 // Trouble reports whether the case is run with its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
--- a/review/testdata/standin/state.go
+++ b/review/testdata/standin/state.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -46,22 +45,18 @@
 	limits  StateLimits
 	latency time.Duration
 
-	mu         sync.Mutex
-	ledger     uint64
-	lastHold   uint64
-	keys       map[string]stored
-	leases     map[uint64]*stateLease
-	events     []stateEvent
-	changed    chan struct{}
-	refused    map[string]bool // by controller
-	outage     bool
-	lateShare  float64       // share of transactions that get no answer
-	lateAtOnce bool          // they are carried out at once, else 2 to 12 s late
-	slow       time.Duration // added to each answer
-	tokens     float64
-	writes     float64
-	refilled   time.Time
-	Refusals   int // answers with status 429
+	mu       sync.Mutex
+	ledger   uint64
+	lastHold uint64
+	keys     map[string]stored
+	leases   map[uint64]*stateLease
+	events   []stateEvent
+	changed  chan struct{}
+	refused  map[string]bool // by controller
+	tokens   float64
+	writes   float64
+	refilled time.Time
+	Refusals int // answers with status 429
 }
 
 const keptEvents = 10_000
@@ -82,7 +77,7 @@
 			s.mu.Lock()
 			now := time.Now()
 			for hold, lease := range s.leases {
-				if !s.outage && now.After(lease.expiry) {
+				if now.After(lease.expiry) {
 					s.endLease(hold)
 				}
 			}
@@ -99,44 +94,10 @@
 	s.refused[controller] = on
 }
 
-// LateWrites sets which share of transactions gets no answer, and whether they are carried out at once
-// or 2 to 12 s late.
-func (s *State) LateWrites(share float64, atOnce bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lateShare, s.lateAtOnce = share, atOnce
-}
-
-// Slow sets a time that is added to each answer.
-func (s *State) Slow(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.slow = d
-}
-
-// late decides whether a transaction gets no answer.
-func (s *State) late() (late, atOnce bool, slow time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return rand.Float64() < s.lateShare, s.lateAtOnce, s.slow
-}
-
-// Outage sets whether the service answers everybody with 503. After it, leases have their full time.
-func (s *State) Outage(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.outage && !on {
-		for _, lease := range s.leases {
-			lease.expiry = time.Now().Add(lease.life)
-		}
-	}
-	s.outage = on
-}
-
 func (s *State) isRefused(controller string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outage || s.refused[controller]
+	return s.refused[controller]
 }
 
 func (s *State) endLease(hold uint64) {
@@ -199,11 +160,10 @@
 		if err != nil {
 			return
 		}
-		late, atOnce, slow := s.late()
+		time.Sleep(s.latency)
 		if rand.IntN(50) == 0 {
-			slow += 200*time.Millisecond + rand.N(200*time.Millisecond) // occasionally a few hundred
+			time.Sleep(200*time.Millisecond + rand.N(200*time.Millisecond)) // occasionally a few hundred
 		}
-		time.Sleep(s.latency + slow)
 		if s.isRefused(controller) {
 			answer(w, http.StatusServiceUnavailable, wire.ErrorMessage{Error: "unavailable"})
 			return
@@ -212,28 +172,12 @@
 			s.follow(w, r, controller)
 			return
 		}
-		if late && r.URL.Path == wire.CommitPath {
-			if !atOnce {
-				time.Sleep(2*time.Second + rand.N(10*time.Second))
-			}
-			s.mu.Lock()
-			s.commit(discard{http.Header{}}, body)
-			s.mu.Unlock()
-			panic(http.ErrAbortHandler) // no answer
-		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.serve(w, r, body)
 	})
 }
 
-// discard is a ResponseWriter for answers that get lost.
-type discard struct{ header http.Header }
-
-func (d discard) Header() http.Header       { return d.header }
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
-func (discard) WriteHeader(int)             {}
-
 func (s *State) serve(w http.ResponseWriter, r *http.Request, body []byte) {
 	path := r.URL.Path
 	if path == wire.CommitPath {
@@ -375,7 +319,7 @@
 	end := time.Now().Add(time.Duration(blockMS) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		changed, refused := s.changed, s.outage || s.refused[controller]
+		changed, refused := s.changed, s.refused[controller]
 		news := wire.News{Ledger: s.ledger, News: []wire.NewsEvent{}}
 		gone := len(s.events) >= keptEvents && since+1 < s.events[0].stamp
 		for _, e := range s.events {
@@ -421,12 +365,3 @@
 	}
 	return items
 }
-
-// JSON returns a value as JSON, for the record.
-func JSON(v any) string {
-	text, err := json.Marshal(v)
-	if err != nil {
-		return err.Error()
-	}
-	return string(text)
-}
--- a/review/testdata/standin/worker.go
+++ b/review/testdata/standin/worker.go
@@ -17,25 +17,21 @@
 
 // JobInfo is the part of a job's description that workers need; users upload it.
 type JobInfo struct {
-	Run       time.Duration
-	CPUs      float64
-	GPUs      float64
-	MemGB     float64
-	Image     string
-	Fetch     time.Duration
-	Saves     bool
-	Save      time.Duration
-	cancelled time.Time
+	Run   time.Duration
+	CPUs  float64
+	GPUs  float64
+	MemGB float64
+	Image string
+	Fetch time.Duration
 }
 
 // attempt is a task on a machine.
 type attempt struct {
-	try      uint64
-	status   string
-	cause    string
-	kept     bool
-	stopped  chan struct{}
-	progress time.Duration
+	try     uint64
+	status  string
+	cause   string
+	kept    bool
+	stopped chan struct{}
 }
 
 // Worker is a stand-in for the worker of a machine (PROTOCOL: Workers -> controller nodes).
@@ -60,9 +56,7 @@
 	gone     chan struct{}
 	goneOnce sync.Once
 	lastNode string
-	deaf     time.Time // until then answers and direct commands are lost
 	mute     time.Time // until then reports don't arrive
-	hang     time.Time // until then the machine hangs
 }
 
 func newWorker(d *Deployment, name string, build MachineType, zone string) (*Worker, error) {
@@ -86,7 +80,7 @@
 		_ = server.Close()
 	}()
 	go w.run()
-	go func() { // the lease also ends while the machine hangs
+	go func() { // the lease also ends while a report is under way
 		for !w.ended() {
 			time.Sleep(50 * time.Millisecond)
 			w.mu.Lock()
@@ -104,25 +98,17 @@
 	return w.lastNode, w.gavel
 }
 
-// Deaf, Mute and Hang disturb the machine for a time.
-func (w *Worker) Deaf(d time.Duration) { w.disturb(&w.deaf, d) }
-
-// Mute lets the machine's reports get lost.
-func (w *Worker) Mute(d time.Duration) { w.disturb(&w.mute, d) }
-
-// Hang lets the machine hang.
-func (w *Worker) Hang(d time.Duration) { w.disturb(&w.hang, d) }
-
-func (w *Worker) disturb(until *time.Time, d time.Duration) {
+// Mute lets the machine reach no controller for a time. Direct commands reach it.
+func (w *Worker) Mute(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	*until = time.Now().Add(d)
+	w.mute = time.Now().Add(d)
 }
 
-func (w *Worker) until(t *time.Time) time.Duration {
+func (w *Worker) muted() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Until(*t)
+	return time.Now().Before(w.mute)
 }
 
 func (w *Worker) ended() bool {
@@ -202,7 +188,6 @@
 }
 
 func (w *Worker) report() time.Duration {
-	time.Sleep(w.until(&w.hang))
 	w.mu.Lock()
 	w.checkLease()
 	sent, shift, body := time.Now(), w.shift, codec.MustMarshal(w.message())
@@ -212,16 +197,11 @@
 	defer cancel()
 	var status int
 	var answerBody []byte
-	if w.until(&w.mute) > 0 {
+	if w.muted() {
 		time.Sleep(4 * time.Second)
 	} else {
 		status, answerBody = post(ctx, w.client, "http://"+target.Client+wire.HeartbeatPath, body)
 	}
-	if w.until(&w.deaf) > 0 || w.until(&w.hang) > 0 {
-		time.Sleep(time.Until(sent.Add(4 * time.Second)))
-		time.Sleep(w.until(&w.hang))
-		status = 0
-	}
 	if time.Since(sent) > 4*time.Second {
 		status = 0
 	}
@@ -283,10 +263,6 @@
 	if err != nil {
 		return
 	}
-	if w.until(&w.deaf) > 0 {
-		panic(http.ErrAbortHandler)
-	}
-	time.Sleep(w.until(&w.hang))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checkLease()
@@ -380,10 +356,9 @@
 	w.images[info.Image] = true
 	a.status = wire.TaskRunning
 	w.d.taskStarted(lot, w.Name, a.try)
-	done := w.d.progress(lot)
 	w.change()
 	w.mu.Unlock()
-	if !w.waitIn(a, info.Run-done) {
+	if !w.waitIn(a, info.Run) {
 		return
 	}
 	w.mu.Lock()
@@ -402,7 +377,6 @@
 		return false
 	case <-time.After(d):
 	}
-	time.Sleep(w.until(&w.hang)) // a machine that hangs doesn't execute its tasks
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checkLease()
