--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -107,7 +107,7 @@
 	t.Helper()
 	eventually(t, "all controllers agree on the leader", func() bool {
 		for i, c := range controllers {
-			if c.term.Load() != nil && c.elector.HoldsLease(time.Now()) {
+			if t := c.term.Load(); t != nil && t.HoldsLease() {
 				controllers[0], controllers[i] = controllers[i], controllers[0]
 			}
 		}
@@ -242,7 +242,7 @@
 	eventually(t, "another term begins after the resignation", func() bool {
 		for _, node := range nodes {
 			if s := node.term.Load(); s != nil && s.Number() == before {
-				node.elector.Resign("test")
+				s.HandOver("")
 			}
 		}
 		work.sendHeartbeat(t)
--- a/internal/controller/fake_services_test.go
+++ b/internal/controller/fake_services_test.go
@@ -34,14 +34,86 @@
 	request.SetBody(codec.MustMarshal(message))
 }
 
-// fakeStore is an in-memory state service. Its leases end only when they are revoked.
+// fakeStore is an in-memory state service. Its leases end only when they are revoked or expireLeases
+// is called.
 type fakeStore struct {
 	mu       sync.Mutex
 	revision uint64
-	leases   uint64
+	leases   uint64 // number of the last lease
+	expired  uint64 // number of the last lease that has expired, with all before it
 	items    map[string]wire.StoreItem
 	news     []wire.NewsEvent
-	down     bool // answers every request with status 503
+	down     bool                        // answers every request with status 503
+	blocked  map[string]*blockedRequests // by path
+}
+
+// blockedRequests are requests that wait until they are released.
+type blockedRequests struct {
+	waiting  int // how many have come so far
+	released chan struct{}
+}
+
+// block makes requests with a path wait until release is called, or the test ends.
+func (f *fakeStore) block(t *testing.T, path string) (release func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.blocked == nil {
+		f.blocked = map[string]*blockedRequests{}
+	}
+	requests := &blockedRequests{released: make(chan struct{})}
+	f.blocked[path] = requests
+	release = sync.OnceFunc(func() { close(requests.released) })
+	t.Cleanup(release)
+	return release
+}
+
+// waiting returns how many requests with a path have waited since block was called.
+func (f *fakeStore) waiting(path string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.blocked[path].waiting
+}
+
+// waitWhileBlocked waits until requests with a path are released, if they are blocked.
+func (f *fakeStore) waitWhileBlocked(path string) {
+	f.mu.Lock()
+	requests := f.blocked[path]
+	if requests != nil {
+		requests.waiting++
+	}
+	f.mu.Unlock()
+	if requests != nil {
+		<-requests.released
+	}
+}
+
+// expireLeases ends all leases, and deletes the keys that are attached to them.
+func (f *fakeStore) expireLeases() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for lease := f.expired + 1; lease <= f.leases; lease++ {
+		f.endLease(lease)
+	}
+	f.expired = f.leases
+}
+
+// holdsPrefix reports whether any key has a prefix.
+func (f *fakeStore) holdsPrefix(prefix string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key := range f.items {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// revisionOf returns the revision of a key's last change.
+func (f *fakeStore) revisionOf(key string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.items[key].Stamp
 }
 
 func (f *fakeStore) setDown(down bool) {
@@ -58,6 +130,7 @@
 
 func (f *fakeStore) handle(request *fasthttp.RequestCtx) {
 	path := string(request.Path())
+	f.waitWhileBlocked(path)
 	switch {
 	case f.isDown():
 		request.SetStatusCode(503)
@@ -84,6 +157,8 @@
 		answer(request, 200, wire.LeaseGrant{Hold: f.leases})
 	case request.IsDelete():
 		f.revoke(path)
+	case strings.HasSuffix(path, wire.KeepAliveSuffix):
+		f.keepAlive(request, path)
 	}
 }
 
@@ -128,10 +203,27 @@
 }
 
 func (f *fakeStore) revoke(path string) {
-	lease, err := strconv.ParseUint(strings.TrimPrefix(path, "/leases/"), 10, 64)
-	if err != nil {
-		return
+	if lease, ok := leaseNumber(path); ok {
+		f.endLease(lease)
+	}
+}
+
+// keepAlive answers a keep-alive with 404 if the lease has expired.
+func (f *fakeStore) keepAlive(request *fasthttp.RequestCtx, path string) {
+	lease, ok := leaseNumber(strings.TrimSuffix(path, wire.KeepAliveSuffix))
+	if !ok || lease <= f.expired {
+		request.SetStatusCode(404)
 	}
+}
+
+// leaseNumber returns the number of the lease that a path names.
+func leaseNumber(path string) (number uint64, ok bool) {
+	number, err := strconv.ParseUint(strings.TrimPrefix(path, wire.LeasesPath+"/"), 10, 64)
+	return number, err == nil
+}
+
+// endLease deletes the keys that are attached to a lease. The caller holds f.mu.
+func (f *fakeStore) endLease(lease uint64) {
 	for key, item := range f.items {
 		if item.Hold == lease {
 			f.revision++
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -25,10 +25,10 @@
 type electionNode struct{ c *Controller }
 
 // RunTerm does the leader's work of one term. It returns once none of that work is running any more.
-func (n electionNode) RunTerm(ctx context.Context, claimed leadership.Term) {
-	c := n.c
+func (n electionNode) RunTerm(ctx context.Context, lease *leadership.TermLease) {
+	c, claimed := n.c, lease.Term()
 	c.replicator.TermClaimed(claimed)
-	t := term.New(claimed, c.termDependencies())
+	t := term.New(lease, c.termDependencies())
 	c.metrics.TermStarted(claimed.Number)
 	err := t.Run(ctx, func() { c.term.Store(t) })
 	c.term.CompareAndSwap(t, nil)
@@ -41,16 +41,16 @@
 // termDependencies returns the clients, components and settings that a term works with.
 func (c *Controller) termDependencies() term.Dependencies {
 	return term.Dependencies{
-		Lease: c.elector, Store: c.store, Records: c.leaderJobs, Cloud: c.cloud, MachineTypes: c.machineTypes,
+		Store: c.store, Records: c.leaderJobs, Cloud: c.cloud, MachineTypes: c.machineTypes,
 		Replicator: c.replicator, Direct: c.direct, Metrics: c.metrics,
 		Config: c.core, RoundTime: c.operator.RoundTime, MaxBatch: c.limits.MaxBatch(),
 		Loops: []term.Loop{func(ctx context.Context, t *term.Term) error { return c.overload.RunLeader(ctx, t) }},
 	}
 }
 
-// LeaseResumed tells the term that the lease had lapsed and is valid again.
-func (n electionNode) LeaseResumed() {
-	if t := n.c.term.Load(); t != nil {
+// LeaseResumed tells a term that its lease had lapsed and is valid again.
+func (n electionNode) LeaseResumed(claimed leadership.Term) {
+	if t := n.c.term.Load(); t != nil && t.Number() == claimed.Number {
 		t.LeaseResumed()
 	}
 }
@@ -119,7 +119,7 @@
 		c.log.Info("handing over", "term", t.Number(), "successor", successor)
 		waitUntil(handOverFlush, func() bool { return c.replicator.CaughtUp(successor) })
 	}
-	c.elector.HandOver(successor)
+	t.HandOver(successor)
 	waitUntil(handOverWait, func() bool { return !t.HoldsLease() && c.elector.FollowsAnother() })
 }
 
--- a/internal/controller/term/step.go
+++ b/internal/controller/term/step.go
@@ -27,7 +27,7 @@
 	case effects.Deposed():
 		t.stepDown(effects.HigherFencingToken)
 	case effects.AttemptNumbersExhausted:
-		t.deps.Lease.Resign(leadership.ResignAttemptNumbersExhausted)
+		t.lease.Resign(leadership.ResignAttemptNumbersExhausted)
 	default:
 		t.carryOut(effects)
 	}
@@ -62,7 +62,7 @@
 func (t *Term) stepDown(seen uint64) {
 	t.log.Warn("worker has seen a fencing token of another leader", "fencing_token", seen)
 	t.background.run(func(ctx context.Context) { t.writeRestoredKey(ctx, seen) })
-	t.deps.Lease.EndTerm()
+	t.lease.End()
 }
 
 // restoredKeyTimeout bounds the write of leadership.RestoredKey.
@@ -151,7 +151,7 @@
 func (t *Term) StoreValue(ctx context.Context, key string, value []byte) error {
 	err := t.deps.Records.Put(ctx, t.claimed, key, value)
 	if errors.Is(err, jobstore.ErrDeposed) {
-		t.deps.Lease.EndTerm()
+		t.lease.End()
 	}
 	return err
 }
--- a/internal/controller/term/term.go
+++ b/internal/controller/term/term.go
@@ -4,8 +4,9 @@
 // A Term owns its engine and all goroutines that work for it. Run takes over from the previous
 // leader and runs the loops until the term is over. Wait then returns once none of the term's work
 // is running any more. All other methods may be called from any goroutine once Run has called
-// ready, also after the end of the term, when the lease is no longer held. The lease alone decides
-// whether this controller may act, and it is checked before anything is sent out.
+// ready, also after the end of the term, when the lease is no longer held. The lease of this very
+// term alone decides whether the term may act, and it is checked before anything is sent out. A
+// controller may lead in its next term while an earlier one still ends.
 package term
 
 import (
@@ -27,14 +28,19 @@
 	"gingertally/internal/statestore"
 )
 
-// Lease is the leader's lease. *leadership.Elector implements it.
+// Lease is the leader's lease in one term. *leadership.TermLease implements it.
 type Lease interface {
-	// HoldsLease reports whether this controller may act.
-	HoldsLease(now time.Time) bool
+	// Term returns the term that the lease belongs to.
+	Term() leadership.Term
+	// Valid reports whether this controller may act for the term. It's false for good once the term
+	// has ended.
+	Valid(now time.Time) bool
 	// Resign gives up the lease and lets other controllers claim first.
 	Resign(reason leadership.ResignReason)
-	// EndTerm ends the term at once, since another controller has claimed a higher one.
-	EndTerm()
+	// HandOver gives up the lease in favor of a successor.
+	HandOver(successor string)
+	// End ends the term at once, since another controller has claimed a higher one.
+	End()
 }
 
 // Loop is work that goes on while a term lasts. It returns when ctx ends; if it returns an error
@@ -43,7 +49,6 @@
 
 // Dependencies holds the clients, components and settings that a term works with.
 type Dependencies struct {
-	Lease        Lease
 	Store        *statestore.Client
 	Records      *jobstore.Jobs // with the leader's share of the rate limits
 	Cloud        *cloud.Client
@@ -61,6 +66,7 @@
 // Term is the work of this controller as the leader during one term.
 type Term struct {
 	deps       Dependencies
+	lease      Lease
 	claimed    leadership.Term
 	log        *slog.Logger
 	wakeWriter chan struct{} // tells the write loop that there may be something to write
@@ -80,10 +86,11 @@
 	lastContact time.Time // set by noteContact
 }
 
-// New returns the work of a term that this controller has claimed. Run starts it.
-func New(claimed leadership.Term, dependencies Dependencies) *Term {
+// New returns the work of the term that a lease belongs to. Run starts it.
+func New(lease Lease, dependencies Dependencies) *Term {
+	claimed := lease.Term()
 	return &Term{
-		deps: dependencies, claimed: claimed, wakeWriter: make(chan struct{}, 1),
+		deps: dependencies, lease: lease, claimed: claimed, wakeWriter: make(chan struct{}, 1),
 		log: slog.With("component", "term", "term", claimed.Number),
 	}
 }
@@ -91,8 +98,11 @@
 // Number returns the term's number.
 func (t *Term) Number() uint64 { return t.claimed.Number }
 
-// HoldsLease reports whether this controller holds a valid leader's lease.
-func (t *Term) HoldsLease() bool { return t.deps.Lease.HoldsLease(time.Now()) }
+// HoldsLease reports whether this controller holds a valid leader's lease in this term.
+func (t *Term) HoldsLease() bool { return t.lease.Valid(time.Now()) }
+
+// HandOver gives up this term's lease in favor of a successor.
+func (t *Term) HandOver(successor string) { t.lease.HandOver(successor) }
 
 // Run takes over from the previous leader, and works until ctx ends or the term is lost. It calls
 // ready when the takeover is complete; from then on the other methods may be called.
--- a/internal/controller/term/tick.go
+++ b/internal/controller/term/tick.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		if t.expectsHeartbeats() && t.sinceContact() > unreachedAfter {
-			t.deps.Lease.Resign(leadership.ResignNoHeartbeats)
+			t.lease.Resign(leadership.ResignNoHeartbeats)
 			continue
 		}
 		t.decide()
--- a/internal/controller/term/write.go
+++ b/internal/controller/term/write.go
@@ -50,7 +50,7 @@
 	for {
 		more, err := t.writeBatch(ctx)
 		if errors.Is(err, jobstore.ErrDeposed) {
-			t.deps.Lease.EndTerm()
+			t.lease.End()
 			return err
 		}
 		if err != nil {
--- a/internal/controller/term_test.go
+++ b/internal/controller/term_test.go
@@ -18,12 +18,14 @@
 	"gingertally/internal/wire"
 )
 
-// heldLease is a leader's lease that is valid until it is given up. It implements term.Lease.
+// heldLease is a lease of the first term that is valid until it is given up. It implements term.Lease.
 type heldLease struct{ over atomic.Bool }
 
-func (l *heldLease) HoldsLease(time.Time) bool      { return !l.over.Load() }
+func (*heldLease) Term() leadership.Term            { return leadership.Term{Number: 1} }
+func (l *heldLease) Valid(time.Time) bool           { return !l.over.Load() }
 func (l *heldLease) Resign(leadership.ResignReason) { l.over.Store(true) }
-func (l *heldLease) EndTerm()                       { l.over.Store(true) }
+func (l *heldLease) HandOver(string)                { l.over.Store(true) }
+func (l *heldLease) End()                           { l.over.Store(true) }
 
 // termGoroutines returns the stacks of all goroutines that run code of package term.
 func termGoroutines() []string {
@@ -72,9 +74,7 @@
 		t.Fatal(err)
 	}
 	before := len(termGoroutines())
-	dependencies := c.termDependencies()
-	dependencies.Lease = &heldLease{}
-	leading := term.New(leadership.Term{Number: 1}, dependencies)
+	leading := term.New(&heldLease{}, c.termDependencies())
 	ctx, cancel := context.WithCancel(t.Context())
 	ready, ended := make(chan struct{}), make(chan error, 1)
 	go func() { ended <- leading.Run(ctx, func() { close(ready) }) }()
--- a/internal/leadership/campaign.go
+++ b/internal/leadership/campaign.go
@@ -78,7 +78,7 @@
 	select {
 	case <-ended:
 	case <-timer.C:
-		e.log.Warn("term still running at shutdown", "term", e.term.Number)
+		e.log.Warn("term still running at shutdown", "term", e.lastClaimed())
 	}
 }
 
@@ -191,43 +191,50 @@
 // renewalsPerTTL is how many times a lease is renewed within its TTL.
 const renewalsPerTTL = 4
 
-// lead runs a term and keeps its lease until the term is over. Requested is when the lease was asked
-// for.
-func (e *Elector) lead(ctx context.Context, term Term, lease statestore.LeaseID, requested time.Time) {
+// lead runs a term and keeps its lease until the term is over. ID is the lease's in the state service,
+// and requested is when it was asked for.
+func (e *Elector) lead(ctx context.Context, term Term, id statestore.LeaseID, requested time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.beginTerm(term, cancel)
-	e.recordRenewal(requested)
-	e.terms.Go(func() { e.node.RunTerm(ctx, term) })
+	lease := e.beginTerm(term, cancel)
+	lease.recordRenewal(requested)
+	e.terms.Go(func() { e.node.RunTerm(ctx, lease) })
 	var extending sync.WaitGroup
-	extending.Go(func() { e.extendLease(ctx) })
-	next := e.keepLease(ctx, lease)
+	extending.Go(func() { e.extendLease(ctx, lease) })
+	next := e.keepLease(ctx, lease, id)
 	e.setRole(next)
 	e.setLeader("")
-	cancel()
 	extending.Wait()
 }
 
-// beginTerm records a claimed term and makes this node Leading.
-func (e *Elector) beginTerm(term Term, cancel context.CancelFunc) {
+// beginTerm makes this node Leading in a term that it has claimed, and returns the term's lease. Cancel
+// ends the term's context.
+func (e *Elector) beginTerm(term Term, cancel context.CancelFunc) *TermLease {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.term, e.cancelTerm = term, cancel
+	e.lease = newTermLease(term, NewLease(e.options.TTL, e.options.Others), cancel, e.log)
+	e.lastTerm = term.Number
 	e.leader, e.successor = e.options.Member, ""
-	e.resigning = false
 	e.setRoleLocked(Leading)
+	return e.lease
+}
+
+// lastClaimed returns the number of the last term that this node has claimed.
+func (e *Elector) lastClaimed() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastTerm
 }
 
 // keepLease renews the lease until it is lost, this node resigns, or ctx ends. It returns the node's
 // next role.
-func (e *Elector) keepLease(ctx context.Context, lease statestore.LeaseID) Role {
+func (e *Elector) keepLease(ctx context.Context, lease *TermLease, id statestore.LeaseID) Role {
 	for ctx.Err() == nil {
-		if e.isResigning() {
-			e.revoke(ctx, lease)
+		if _, resigned := lease.resignation(); resigned {
+			e.revoke(ctx, id)
 			return Resigned
 		}
-		wait.Sleep(ctx, e.options.TTL/renewalsPerTTL)
-		if !e.renew(ctx, lease) {
+		if wait.Sleep(ctx, e.options.TTL/renewalsPerTTL) && !e.renew(ctx, lease, id) {
 			return Follower
 		}
 	}
@@ -236,32 +243,22 @@
 
 // renew tries once to renew the lease. It returns false only if the lease has expired; after any
 // other error the renewal may be retried.
-func (e *Elector) renew(ctx context.Context, lease statestore.LeaseID) bool {
+func (e *Elector) renew(ctx context.Context, lease *TermLease, id statestore.LeaseID) bool {
 	requested := time.Now()
-	lapsed := !e.HoldsLease(requested)
-	err := e.store.KeepAlive(ctx, lease)
+	lapsed := !lease.Valid(requested)
+	err := e.store.KeepAlive(ctx, id)
 	if errors.Is(err, statestore.ErrLeaseExpired) {
-		e.log.Warn("leader lease lost", "term", e.term.Number)
+		e.log.Warn("leader lease lost", "term", lease.Term().Number)
 		return false
 	}
 	if err != nil {
 		e.log.Debug("lease renewal failed", "error", err)
 		return true
 	}
-	e.recordRenewal(requested)
-	if lapsed && e.HoldsLease(time.Now()) {
-		e.log.Info("leader lease valid again", "term", e.term.Number)
-		e.node.LeaseResumed()
+	lease.recordRenewal(requested)
+	if lapsed && lease.Valid(time.Now()) {
+		e.log.Info("leader lease valid again", "term", lease.Term().Number)
+		e.node.LeaseResumed(lease.Term())
 	}
 	return true
 }
-
-// recordRenewal records that the lease was granted or renewed. Requested is when that was asked
-// for. A node that is resigning ignores it.
-func (e *Elector) recordRenewal(requested time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.resigning {
-		e.lease.RecordRenewal(requested)
-	}
-}
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -1,5 +1,5 @@
 // Package leadership elects the leader among the controller nodes, and tells at any time whether this
-// node holds a valid leader lease.
+// node holds a valid leader lease in a term (TermLease).
 //
 // The key that names the leader (HolderKey) is attached to a lease of the state service. A node
 // claims leadership with one compare-and-swap transaction, which sets that key and the number of a
@@ -14,7 +14,6 @@
 package leadership
 
 import (
-	"context"
 	"log/slog"
 	"sync"
 	"time"
@@ -39,27 +38,24 @@
 	log     *slog.Logger
 	terms   sync.WaitGroup // calls of RunTerm that haven't returned yet
 
-	mu         sync.Mutex
-	role       Role
-	leader     string // the node that holds the leader's key; empty if unknown
-	successor  string // given to HandOver; Leader returns it until the next leader is known
-	term       Term   // the last term that this node has claimed
-	lease      *Lease
-	cancelTerm context.CancelFunc // nil unless this node has claimed a term
-	resigning  bool
-	grants     extensionGrants
+	mu        sync.Mutex
+	role      Role
+	leader    string     // the node that holds the leader's key; empty if unknown
+	lease     *TermLease // of the term in which this node is Leading; nil in other roles
+	lastTerm  uint64     // number of the last term that this node has claimed
+	successor string     // named in the last term; Leader returns it until the next leader is known
+	grants    extensionGrants
 }
 
 // New returns an Elector, which takes part in elections once Run is called.
 func New(store Store, node Node, options Options) *Elector {
 	return &Elector{
 		options: options, store: store, node: node, log: slog.With("component", "leadership"),
-		lease:  NewLease(options.TTL, options.Others),
 		grants: extensionGrants{startedAt: time.Now()},
 	}
 }
 
-// setRole changes the role and logs the change. In any role but Leading the lease is invalid.
+// setRole changes the role and logs the change. A node that is Leading ends its term by that.
 func (e *Elector) setRole(to Role) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -71,26 +67,26 @@
 	if e.role == to {
 		return
 	}
-	e.log.Info("leadership role changed", "previous_role", e.role.String(), "role", to.String(), "term", e.term.Number)
+	e.log.Info("leadership role changed", "previous_role", e.role.String(), "role", to.String(), "term", e.lastTerm)
 	e.role = to
-	if to != Leading {
-		e.lease.Invalidate()
+	if e.lease != nil && to != Leading {
+		e.lease.End()
+		e.successor, _ = e.lease.resignation()
+		e.lease = nil
 	}
 }
 
-// HoldsLease returns whether this node holds a valid leader lease, and so may act as the leader.
-func (e *Elector) HoldsLease(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.role == Leading && e.lease.Valid(now)
-}
-
 // Leader returns the name of the node that is believed to lead or, after a handover, is expected to
 // lead next. It is empty if neither is known.
 func (e *Elector) Leader() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader == "" || e.role == Leading && e.resigning {
+	if e.lease != nil {
+		if successor, resigned := e.lease.resignation(); resigned {
+			return successor
+		}
+	}
+	if e.leader == "" {
 		return e.successor
 	}
 	return e.leader
@@ -110,43 +106,6 @@
 	return e.role
 }
 
-// HandOver makes a leader give up its lease in favor of a successor, which Leader returns from then
-// on. The successor is only a hint: it has to claim like any other node.
-func (e *Elector) HandOver(successor string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.role == Leading && !e.resigning {
-		e.successor = successor
-	}
-	e.resignLocked(ResignHandingOver)
-}
-
-// Resign makes a leader give up its lease and let other nodes claim first.
-func (e *Elector) Resign(reason ResignReason) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.resignLocked(reason)
-}
-
-// resignLocked is Resign for callers that hold e.mu.
-func (e *Elector) resignLocked(reason ResignReason) {
-	if e.role == Leading && !e.resigning {
-		e.log.Warn("leader resigning", "term", e.term.Number, "reason", string(reason))
-		e.resigning = true
-		e.lease.Invalidate()
-	}
-}
-
-// EndTerm ends this node's term at once. It is called when another node has claimed a higher term.
-func (e *Elector) EndTerm() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lease.Invalidate()
-	if e.cancelTerm != nil {
-		e.cancelTerm()
-	}
-}
-
 // setLeader records which node holds HolderKey; name is empty if none is known to.
 func (e *Elector) setLeader(name string) {
 	e.mu.Lock()
@@ -159,9 +118,3 @@
 	}
 	e.leader = name
 }
-
-func (e *Elector) isResigning() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.resigning
-}
--- a/internal/leadership/elector_test.go
+++ b/internal/leadership/elector_test.go
@@ -160,20 +160,38 @@
 // fakeNode is a Node that does no work as the leader.
 type fakeNode struct {
 	termStarted      func(t Term)
+	leaseResumed     func(t Term)
 	leaderLost       func()
 	withoutHeartbeat bool
 	claimDelay       time.Duration
 	requestExtension func(ctx context.Context, member string) bool
 }
 
-func (n *fakeNode) RunTerm(ctx context.Context, t Term) {
+func (n *fakeNode) RunTerm(ctx context.Context, lease *TermLease) {
 	if n.termStarted != nil {
-		n.termStarted(t)
+		n.termStarted(lease.Term())
 	}
 	<-ctx.Done()
 }
 
-func (*fakeNode) LeaseResumed() {}
+func (n *fakeNode) LeaseResumed(t Term) {
+	if n.leaseResumed != nil {
+		n.leaseResumed(t)
+	}
+}
+
+// currentLease returns the lease of the term in which a node leads; nil if it doesn't lead.
+func currentLease(e *Elector) *TermLease {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease
+}
+
+// holdsLease returns whether a node holds a valid leader lease in any term.
+func holdsLease(e *Elector) bool {
+	lease := currentLease(e)
+	return lease != nil && lease.Valid(time.Now())
+}
 
 func (n *fakeNode) LeaderLost() {
 	if n.leaderLost != nil {
@@ -238,7 +256,7 @@
 	t.Helper()
 	who = -1
 	for i, elector := range c.electors {
-		if elector.HoldsLease(time.Now()) {
+		if holdsLease(elector) {
 			if who >= 0 {
 				t.Fatalf("nodes %d and %d hold a valid lease at once", who, i)
 			}
@@ -277,8 +295,8 @@
 		if second < 0 || second == first {
 			t.Fatalf("node %d leads after node %d was cut off", second, first)
 		}
-		c.electors[second].Resign("test")
-		if c.electors[second].HoldsLease(time.Now()) {
+		currentLease(c.electors[second]).Resign("test")
+		if holdsLease(c.electors[second]) {
 			t.Fatal("holds the lease after resigning")
 		}
 		c.checkOneLeaderFor(t, ttl)
--- a/internal/leadership/extension.go
+++ b/internal/leadership/extension.go
@@ -39,30 +39,22 @@
 // timers.
 const CountedExtensionDuration = ExtensionDuration - ExtensionDuration/driftDivisor - timerStep
 
-// extendLease asks the peers for extensions, until ctx ends, whenever this node leads and the state
-// service doesn't renew its lease. It returns at once if extensions are disabled.
-func (e *Elector) extendLease(ctx context.Context) {
+// extendLease asks the peers to extend a term's lease, until ctx ends, whenever the state service
+// doesn't renew it. It returns at once if extensions are disabled.
+func (e *Elector) extendLease(ctx context.Context, lease *TermLease) {
 	if !e.options.PeerExtensions {
 		return
 	}
-	for ctx.Err() == nil {
-		wait.Sleep(ctx, extensionInterval)
-		if e.needsExtension() {
-			e.requestExtensions(ctx)
+	for wait.Sleep(ctx, extensionInterval) {
+		if lease.needsExtension(time.Now()) {
+			e.requestExtensions(ctx, lease)
 		}
 	}
 }
 
-// needsExtension returns whether this node leads, isn't resigning, and its lease needs an extension.
-func (e *Elector) needsExtension() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.role == Leading && !e.resigning && e.lease.NeedsExtension(time.Now())
-}
-
 // requestExtensions asks all peers in parallel to extend the lease, and records the extensions
 // granted.
-func (e *Elector) requestExtensions(ctx context.Context) {
+func (e *Elector) requestExtensions(ctx context.Context, lease *TermLease) {
 	ctx, cancel := context.WithTimeout(ctx, extensionTimeout)
 	defer cancel()
 	requested := time.Now()
@@ -70,25 +62,13 @@
 	for _, peer := range e.options.Others {
 		requests.Go(func() {
 			if e.node.RequestExtension(ctx, peer) {
-				e.recordExtension(peer, requested.Add(CountedExtensionDuration))
+				lease.recordExtension(peer, time.Now(), requested.Add(CountedExtensionDuration))
 			}
 		})
 	}
 	requests.Wait()
 }
 
-// recordExtension records that a peer extends the lease until a given time.
-func (e *Elector) recordExtension(peer string, until time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.role != Leading || e.resigning {
-		return
-	}
-	if first := e.lease.RecordExtension(peer, time.Now(), until); first {
-		e.log.Warn("leader lease extended by peers", "term", e.term.Number)
-	}
-}
-
 // extensionGrants holds the lease extensions that this node has granted to leaders, during which it
 // must not claim.
 type extensionGrants struct {
--- a/internal/leadership/hand_over_test.go
+++ b/internal/leadership/hand_over_test.go
@@ -25,7 +25,7 @@
 		a := newTestElector(store, "a", []string{"b", "c"}, 0, func() {})
 		go func() { _ = a.Run(ctx) }()
 		time.Sleep(2 * time.Second)
-		if !a.HoldsLease(time.Now()) {
+		if !holdsLease(a) {
 			t.Fatal("the only node doesn't lead")
 		}
 		b := newTestElector(store, "b", []string{"a", "c"}, time.Second, func() {})
@@ -33,19 +33,19 @@
 		go func() { _ = b.Run(ctx) }()
 		go func() { _ = c.Run(ctx) }()
 		time.Sleep(2 * time.Second)
-		a.HandOver("c")
-		if a.HoldsLease(time.Now()) || a.Leader() != "c" {
-			t.Fatalf("after handing over: holds the lease %v, names %q as the leader", a.HoldsLease(time.Now()), a.Leader())
+		currentLease(a).HandOver("c")
+		if holdsLease(a) || a.Leader() != "c" {
+			t.Fatalf("after handing over: holds the lease %v, names %q as the leader", holdsLease(a), a.Leader())
 		}
 		time.Sleep(1500 * time.Millisecond)
-		if !c.HoldsLease(time.Now()) || b.HoldsLease(time.Now()) || vacant == 0 {
+		if !holdsLease(c) || holdsLease(b) || vacant == 0 {
 			t.Fatalf("c leads: %v, b leads: %v, seen vacant %d times",
-				c.HoldsLease(time.Now()), b.HoldsLease(time.Now()), vacant)
+				holdsLease(c), holdsLease(b), vacant)
 		}
 		if !a.FollowsAnother() || a.Leader() != "c" {
 			t.Fatalf("the old leader names %q as the leader", a.Leader())
 		}
-		c.Resign("test") // names no successor, so c then names the next leader
+		currentLease(c).Resign("test") // names no successor, so c then names the next leader
 		time.Sleep(4 * time.Second)
 		if next := c.Leader(); next == "" || next == "c" || next != a.Leader() || next != b.Leader() {
 			t.Fatalf("after a resignation the nodes name %q, %q and %q as the leader", a.Leader(), b.Leader(), next)
@@ -63,11 +63,11 @@
 		lagging := newTestElector(newFakeStore(), "b", []string{"a"}, 400*time.Millisecond, nil)
 		go func() { _ = lagging.Run(ctx) }()
 		time.Sleep(200 * time.Millisecond)
-		if lagging.HoldsLease(time.Now()) {
+		if holdsLease(lagging) {
 			t.Fatal("claims without delay")
 		}
 		time.Sleep(time.Second)
-		if !lagging.HoldsLease(time.Now()) {
+		if !holdsLease(lagging) {
 			t.Fatal("never claims")
 		}
 		cancel()
--- a/internal/leadership/node.go
+++ b/internal/leadership/node.go
@@ -28,11 +28,12 @@
 // RunTerm and RequestExtension must return quickly. They are called concurrently from the Elector's
 // goroutines, and never with its lock held.
 type Node interface {
-	// RunTerm does the leader's work for a term. The context ends with the term. RunTerm returns
-	// once none of the term's work is running any more.
-	RunTerm(ctx context.Context, term Term)
+	// RunTerm does the leader's work for the term of a lease. The context ends with the term. RunTerm
+	// returns once none of the term's work is running any more, which may be when this node has
+	// claimed its next term already.
+	RunTerm(ctx context.Context, lease *TermLease)
 	// LeaseResumed is called when the lease had lapsed and is valid again in the same term.
-	LeaseResumed()
+	LeaseResumed(term Term)
 	// LeaderLost is called when there is no leader any more.
 	LeaderLost()
 	// HeartbeatsMissing returns whether this node has received no heartbeat from any worker for
@@ -52,7 +53,7 @@
 const (
 	Follower Role = iota // another node leads, or no leader is known
 	Claiming             // there is no leader, and this node is claiming leadership
-	Leading              // this node has claimed a term; HoldsLease tells whether its lease is valid
+	Leading              // this node has claimed a term; the TermLease tells whether its lease is valid
 	Resigned             // this node has resigned and lets others claim first
 )
 
