controller: a former term neither displaces nor hides the present one

What callers saw, each in a test on real sockets (loopback): a leader with a valid lease answered no heartbeat for at least 2 s; /metrics said gingertally_leading 0 while the controller led; with the warm standby, a leader published nothing to its followers.

A term told its controller from its own goroutine that it was ready and that it was over. A former term whose last list of records was answered late said "ready" after the present one, took its place and left none; one that ended late reset the metric; and a former takeover made the standby publish for its own term.

The elector tells the node of the end of a term before it begins the next (Node.BeginTerm, Node.EndTerm); only the work between runs in a goroutine of its own. A term whose work ends by itself ends its lease.

TestTermsFollowEachOther holds the order.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,7 +13,7 @@
 //
 // In this package itself, http.go routes the requests of users, workers and operators, and peers.go
 // those of other controllers. node.go implements the node interface of leader election,
-// leader_view.go gives the services of users, workers and operators access to the leader, contact.go
+// current_term.go holds the present term, leader_view.go gives the services of users, workers and operators access to the leader, contact.go
 // tracks the contact with the state service and the other controllers, and core_config.go derives
 // the engine's configuration from the settings.
 package controller
@@ -24,7 +24,6 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -77,7 +76,7 @@
 
 	// Leader election, and this controller's term while it leads.
 	elector *leadership.Elector
-	term    atomic.Pointer[term.Term] // nil unless this controller leads
+	term    currentTerm
 	direct  *term.DirectSender
 
 	// Components that work on every controller, whether it leads or not.
--- a/internal/controller/fake_services_test.go
+++ b/internal/controller/fake_services_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,7 +45,7 @@
 	items    map[string]wire.StoreItem
 	news     []wire.NewsEvent
 	down     bool                        // answers every request with status 503
-	blocked  map[string]*blockedRequests // by path
+	blocked  map[string]*blockedRequests // by the start of their path and query
 }
 
 // blockedRequests are requests that wait until they are released.
@@ -53,37 +54,52 @@
 	released chan struct{}
 }
 
-// block makes requests with a path wait until release is called, or the test ends.
-func (f *fakeStore) block(t *testing.T, path string) (release func()) {
+// block makes requests whose path and query begin like this wait until release is called, or the test
+// ends.
+func (f *fakeStore) block(t *testing.T, request string) (release func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.blocked == nil {
 		f.blocked = map[string]*blockedRequests{}
 	}
 	requests := &blockedRequests{released: make(chan struct{})}
-	f.blocked[path] = requests
+	f.blocked[request] = requests
 	release = sync.OnceFunc(func() { close(requests.released) })
 	t.Cleanup(release)
 	return release
 }
 
-// waiting returns how many requests with a path have waited since block was called.
-func (f *fakeStore) waiting(path string) int {
+// passFromNowOn lets further requests of a kind that is blocked pass. Those that wait go on waiting.
+func (f *fakeStore) passFromNowOn(request string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.blocked[path].waiting
+	delete(f.blocked, request)
 }
 
-// waitWhileBlocked waits until requests with a path are released, if they are blocked.
-func (f *fakeStore) waitWhileBlocked(path string) {
+// waiting returns how many requests of a kind have waited since block was called.
+func (f *fakeStore) waiting(request string) int {
 	f.mu.Lock()
-	requests := f.blocked[path]
-	if requests != nil {
-		requests.waiting++
+	defer f.mu.Unlock()
+	return f.blocked[request].waiting
+}
+
+// waitWhileBlocked waits until a request is released, if requests of its kind are blocked.
+func (f *fakeStore) waitWhileBlocked(request *fasthttp.RequestCtx) {
+	uri, err := url.QueryUnescape(string(request.RequestURI()))
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	var released chan struct{}
+	for kind, requests := range f.blocked {
+		if strings.HasPrefix(uri, kind) {
+			requests.waiting++
+			released = requests.released
+		}
 	}
 	f.mu.Unlock()
-	if requests != nil {
-		<-requests.released
+	if released != nil {
+		<-released
 	}
 }
 
@@ -130,7 +146,7 @@
 
 func (f *fakeStore) handle(request *fasthttp.RequestCtx) {
 	path := string(request.Path())
-	f.waitWhileBlocked(path)
+	f.waitWhileBlocked(request)
 	switch {
 	case f.isDown():
 		request.SetStatusCode(503)
--- a/internal/controller/former_term_test.go
+++ b/internal/controller/former_term_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"bytes"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -12,22 +14,31 @@
 	"gingertally/internal/wire"
 )
 
+// Requests of a term that the tests hold back at the state service.
 const (
-	watchPath = "/follow" // of the state service's watches
-	listPath  = "/store"  // of its lists, by which a new term reads the records
+	watchRequest    = "/follow"          // a watch
+	firstRecordList = "/store?starts=j/" // the first list of a term that reads its records
+	lastRecordList  = "/store?starts=i/" // the last one
 )
 
-// leadAgain makes a controller that leads lose its lease and claim the next term. It returns while
-// the former term waits for its watch and the next one for the lists of records. Both wait until the
-// test ends, or until the lists are released.
-func leadAgain(t *testing.T, store *fakeStore) (claimed leadership.Term, releaseLists func()) {
+// overlap is a controller that has claimed a term while its former one still ends.
+type overlap struct {
+	claimed        leadership.Term // the present term
+	releaseRecords func()          // lets the present term read its records
+	releaseWatch   func()          // lets the former term end
+}
+
+// leadAgain makes a controller that leads in its first term lose its lease and claim the next. It
+// returns while the former term waits for its watch, and the present one for its records.
+func leadAgain(t *testing.T, store *fakeStore) overlap {
 	t.Helper()
-	store.block(t, watchPath)
-	eventually(t, "the former term's watch waits", func() bool { return store.waiting(watchPath) > 0 })
-	releaseLists = store.block(t, listPath)
+	releaseWatch := store.block(t, watchRequest)
+	eventually(t, "the former term's watch waits", func() bool { return store.waiting(watchRequest) > 0 })
+	releaseRecords := store.block(t, firstRecordList)
 	store.expireLeases()
-	eventually(t, "the next term reads its records", func() bool { return store.waiting(listPath) > 0 })
-	return leadership.Term{Number: 2, Revision: store.revisionOf(leadership.TermKey)}, releaseLists
+	eventually(t, "the next term reads its records", func() bool { return store.waiting(firstRecordList) > 0 })
+	claimed := leadership.Term{Number: 2, Revision: store.revisionOf(leadership.TermKey)}
+	return overlap{claimed, releaseRecords, releaseWatch}
 }
 
 // newTestWorker returns a worker that the controller has heard.
@@ -40,6 +51,14 @@
 	return work
 }
 
+// awaitTerm waits until a leader answers the worker in a term or a later one.
+func (w *worker) awaitTerm(t *testing.T, number uint64) {
+	t.Helper()
+	eventually(t, "the next term answers the worker", func() bool {
+		return w.sendHeartbeat(t) == fasthttp.StatusOK && w.fencingToken >= number
+	})
+}
+
 // Guards against ran_twice: a term that is over sent workers its starts while its controller, which
 // had claimed again, was still reading the records of the next term.
 func TestFormerTermAnswersNoWorker(t *testing.T) {
@@ -51,15 +70,13 @@
 		t.Fatal(err)
 	}
 	eventually(t, "the start is recorded", func() bool { return store.holdsPrefix("s/") })
-	_, releaseLists := leadAgain(t, store)
+	overlap := leadAgain(t, store)
 	if status := work.sendHeartbeat(t); status == fasthttp.StatusOK {
 		t.Errorf("answered a heartbeat with fencing token %d before the next term had read its records; tasks: %v",
 			work.fencingToken, work.tasks)
 	}
-	releaseLists()
-	eventually(t, "the next term answers the worker", func() bool {
-		return work.sendHeartbeat(t) == fasthttp.StatusOK && work.fencingToken == 2
-	})
+	overlap.releaseRecords()
+	work.awaitTerm(t, overlap.claimed.Number)
 }
 
 // Guards against went_back: a term that is over told users that a job was running, after another
@@ -78,20 +95,56 @@
 		answer, err := user.Get(t.Context(), "j-1")
 		return err == nil && answer.Status == wire.StatusRunning
 	})
-	claimed, releaseLists := leadAgain(t, store)
-	storeJobDone(t, controller, claimed, "j-1")
+	overlap := leadAgain(t, store)
+	storeJobDone(t, controller, overlap.claimed, "j-1")
 	if answer, err := user.Get(t.Context(), "j-1"); err != nil || answer.Status != wire.StatusDone {
 		t.Errorf("a job that the state service holds as done: %+v, %v", answer, err)
 	}
-	releaseLists()
-	eventually(t, "the next term answers the worker", func() bool {
-		return work.sendHeartbeat(t) == fasthttp.StatusOK && work.fencingToken == claimed.Number
-	})
+	overlap.releaseRecords()
+	work.awaitTerm(t, overlap.claimed.Number)
 	if answer, err := user.Get(t.Context(), "j-1"); err != nil || answer.Status != wire.StatusDone {
 		t.Errorf("after the takeover: %+v, %v", answer, err)
 	}
 }
 
+// Guards against a leader that serves nobody: the takeover of a term that was over took the place of
+// the present term, which then answered neither workers nor users until it resigned.
+func TestFormerTakeoverDisplacesNoTerm(t *testing.T) {
+	store := &fakeStore{items: map[string]wire.StoreItem{}}
+	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
+	work := newTestWorker(t, controller)
+	releaseFormer := store.block(t, lastRecordList)
+	store.expireLeases()
+	eventually(t, "the second term reads its records", func() bool { return store.waiting(lastRecordList) > 0 })
+	store.passFromNowOn(lastRecordList)
+	store.expireLeases()
+	work.awaitTerm(t, 3)
+	releaseFormer()
+	time.Sleep(300 * time.Millisecond) // for the former takeover to be over
+	for end := time.Now().Add(2 * time.Second); work.sendHeartbeat(t) != fasthttp.StatusOK; {
+		if time.Now().After(end) {
+			t.Fatal("the leader answers no heartbeat since the takeover of its former term")
+		}
+	}
+}
+
+// Guards against alarms about a missing leader: the end of a term that was over made the metrics say
+// that the controller didn't lead, for the whole of its present term.
+func TestFormerTermLeavesTheMetrics(t *testing.T) {
+	store := &fakeStore{items: map[string]wire.StoreItem{}}
+	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
+	work := newTestWorker(t, controller)
+	overlap := leadAgain(t, store)
+	overlap.releaseRecords()
+	work.awaitTerm(t, overlap.claimed.Number)
+	overlap.releaseWatch()
+	time.Sleep(300 * time.Millisecond) // for the former term to end
+	_, body, err := fasthttp.Get(nil, "http://"+controller.addr+metricsPath)
+	if err != nil || !bytes.Contains(body, []byte("\ngingertally_leading 1\n")) {
+		t.Errorf("the metrics don't say that the controller leads: %v", err)
+	}
+}
+
 // storeJobDone stores under a term that a job is done, as the term's leader does.
 func storeJobDone(t *testing.T, controller runningController, claimed leadership.Term, ref string) {
 	t.Helper()
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -24,20 +24,33 @@
 // electionNode implements leadership.Node: this controller as a candidate in leader election.
 type electionNode struct{ c *Controller }
 
-// RunTerm does the leader's work of one term. It returns once none of that work is running any more.
-func (n electionNode) RunTerm(ctx context.Context, lease *leadership.TermLease) {
-	c, claimed := n.c, lease.Term()
-	c.replicator.TermClaimed(claimed)
+// BeginTerm prepares the leader's work of a term that this controller has claimed, and returns it.
+func (n electionNode) BeginTerm(lease *leadership.TermLease) (work func(ctx context.Context)) {
+	c := n.c
+	c.replicator.TermClaimed(lease.Term())
+	c.metrics.TermStarted(lease.Term().Number)
 	t := term.New(lease, c.termDependencies())
-	c.metrics.TermStarted(claimed.Number)
-	err := t.Run(ctx, func() { c.term.Store(t) })
-	c.term.CompareAndSwap(t, nil)
-	c.replicator.TermEnded(claimed.Number)
-	c.metrics.TermEnded()
-	c.log.Info("term ended", "term", claimed.Number, "reason", err)
+	c.term.begin(t)
+	return func(ctx context.Context) { c.runTerm(ctx, t, lease) }
+}
+
+// runTerm does the leader's work of one term, whose end it also is when that work ends. It returns
+// once none of the work is running any more.
+func (c *Controller) runTerm(ctx context.Context, t *term.Term, lease *leadership.TermLease) {
+	err := t.Run(ctx, func() { c.term.takenOver(t) })
+	lease.End()
+	c.log.Info("term ended", "term", t.Number(), "reason", err)
 	t.Wait()
 }
 
+// EndTerm ends this controller's part as the leader: from now on it serves as a follower, although
+// calls of the term that are in flight may still have to return.
+func (n electionNode) EndTerm(claimed leadership.Term) {
+	n.c.term.end()
+	n.c.replicator.TermEnded(claimed.Number)
+	n.c.metrics.TermEnded()
+}
+
 // termDependencies returns the clients, components and settings that a term works with.
 func (c *Controller) termDependencies() term.Dependencies {
 	return term.Dependencies{
--- a/internal/controller/replication/node.go
+++ b/internal/controller/replication/node.go
@@ -32,6 +32,7 @@
 
 	mu        sync.Mutex
 	standby   *standby.Standby
+	claimed   uint64                   // the term that this node has claimed; 0 if that is over
 	publisher *standby.Publisher       // nil unless this node leads
 	term      uint64                   // of the publisher, or of the last one
 	streams   map[string]chan struct{} // by follower: signals its stream that a frame may be due
@@ -127,17 +128,20 @@
 func (n *Node) TermClaimed(term leadership.Term) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.takeover.Term = term.Number
+	n.claimed, n.takeover.Term = term.Number, term.Number
 	n.phaseReached(standby.ClaimStored, time.Now())
 	n.standby.Claimed(standby.Claim{Term: term.Number, Revision: term.Revision})
 }
 
 // ConfirmCopy implements Replicator. The copy is used only if it is complete, lacks no known change, is
-// of the term right before this one, and can be decoded. With standby.ErrBehindClaim nothing is decided;
-// otherwise, whether or not the copy is used, this node publishes its own warm state from now on.
+// of the term right before this one, and can be decoded. After an error nothing is decided; otherwise,
+// whether or not the copy is used, this node publishes its own warm state from now on.
 func (n *Node) ConfirmCopy(term leadership.Term, revision uint64) (*core.WarmStart, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.claimed != term.Number {
+		return nil, ErrTermOver
+	}
 	now := time.Now()
 	warmCopy, err := n.standby.ConfirmCopy(now, revision)
 	if errors.Is(err, standby.ErrBehindClaim) {
@@ -166,6 +170,9 @@
 func (n *Node) TermEnded(term uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.claimed == term {
+		n.claimed = 0
+	}
 	if n.term == term {
 		n.publisher = nil
 		n.wakeStreams()
--- a/internal/controller/replication/node_test.go
+++ b/internal/controller/replication/node_test.go
@@ -67,6 +67,23 @@
 	}
 }
 
+// Guards against followers without a copy: the takeover of a term that was over made its node publish
+// that term's warm state, and drop what the present term published.
+func TestFormerTakeoverPublishesNothing(t *testing.T) {
+	n := newTestNode(t, "a", nil)
+	n.TermClaimed(leadership.Term{Number: 1, Revision: 10})
+	n.TermEnded(1)
+	lead(t, n, 2)
+	if _, err := n.ConfirmCopy(leadership.Term{Number: 1, Revision: 10}, 20); !errors.Is(err, ErrTermOver) {
+		t.Errorf("takeover of a term that is over: error %v, want ErrTermOver", err)
+	}
+	n.TermEnded(1)
+	n.Publish(2, []core.WarmRecord{classRecord(1)})
+	if s := n.Status(time.Now()); s.State != "active" || s.Sequence != 1 {
+		t.Errorf("status %+v; want active at change 1", s)
+	}
+}
+
 // A new leader starts from its copy of the previous leader's warm state, and its status shows when
 // each phase of the takeover was reached. A node whose term is over sends no more frames, and
 // ending that term again doesn't affect the new leader. Otherwise takeovers would be slow, or
--- a/internal/controller/replication/replication.go
+++ b/internal/controller/replication/replication.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/grpc"
@@ -19,6 +20,9 @@
 	"gingertally/internal/standby"
 )
 
+// ErrTermOver reports that a term isn't the one that this node has claimed, or is over.
+var ErrTermOver = errors.New("the term is over")
+
 // Replicator is a controller's part in the warm standby: a *Node, or Disabled.
 type Replicator interface {
 	// Enabled reports whether the operators have enabled the warm standby.
@@ -37,8 +41,8 @@
 	TermClaimed(term leadership.Term)
 	// ConfirmCopy decides, after the records were read from the state service as of a revision, whether
 	// the engine may also start from the copy of the previous leader's warm state. It returns that
-	// state, or nil if the engine starts from the records alone. The only error is
-	// standby.ErrBehindClaim: the records have to be read again.
+	// state, or nil if the engine starts from the records alone. The error is standby.ErrBehindClaim
+	// if the records have to be read again, and ErrTermOver if the term isn't this node's any more.
 	ConfirmCopy(term leadership.Term, revision uint64) (*core.WarmStart, error)
 	// Publish streams changes of the engine's warm state to the followers, if the term is still
 	// this node's.
--- a/internal/leadership/campaign.go
+++ b/internal/leadership/campaign.go
@@ -29,7 +29,7 @@
 	grantRetry                  = 100 * time.Millisecond
 	grantRetryJitter            = 100 * time.Millisecond
 	claimRetryJitter            = 100 * time.Millisecond
-	termEndTimeout              = 2 * time.Second // how long Run waits for RunTerm to return
+	termEndTimeout              = 2 * time.Second // how long Run waits for the work of terms
 )
 
 // Run takes part in leader election until ctx ends: it follows other leaders, claims leadership when
@@ -198,12 +198,14 @@
 	defer cancel()
 	lease := e.beginTerm(term, cancel)
 	lease.recordRenewal(requested)
-	e.terms.Go(func() { e.node.RunTerm(ctx, lease) })
+	work := e.node.BeginTerm(lease)
+	e.terms.Go(func() { work(ctx) })
 	var extending sync.WaitGroup
 	extending.Go(func() { e.extendLease(ctx, lease) })
 	next := e.keepLease(ctx, lease, id)
 	e.setRole(next)
 	e.setLeader("")
+	e.node.EndTerm(term)
 	extending.Wait()
 }
 
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -36,7 +36,7 @@
 	store   Store
 	node    Node
 	log     *slog.Logger
-	terms   sync.WaitGroup // calls of RunTerm that haven't returned yet
+	terms   sync.WaitGroup // the work of terms that hasn't returned yet
 
 	mu        sync.Mutex
 	role      Role
--- a/internal/leadership/elector_test.go
+++ b/internal/leadership/elector_test.go
@@ -160,6 +160,8 @@
 // fakeNode is a Node that does no work as the leader.
 type fakeNode struct {
 	termStarted      func(t Term)
+	termEnded        func(t Term)
+	workEndsLate     time.Duration // after the end of the term
 	leaseResumed     func(t Term)
 	leaderLost       func()
 	withoutHeartbeat bool
@@ -167,11 +169,20 @@
 	requestExtension func(ctx context.Context, member string) bool
 }
 
-func (n *fakeNode) RunTerm(ctx context.Context, lease *TermLease) {
+func (n *fakeNode) BeginTerm(lease *TermLease) func(context.Context) {
 	if n.termStarted != nil {
 		n.termStarted(lease.Term())
 	}
-	<-ctx.Done()
+	return func(ctx context.Context) {
+		<-ctx.Done()
+		time.Sleep(n.workEndsLate)
+	}
+}
+
+func (n *fakeNode) EndTerm(t Term) {
+	if n.termEnded != nil {
+		n.termEnded(t)
+	}
 }
 
 func (n *fakeNode) LeaseResumed(t Term) {
--- a/internal/leadership/node.go
+++ b/internal/leadership/node.go
@@ -25,13 +25,15 @@
 }
 
 // Node is the controller node on whose behalf an Elector takes part in elections. All methods but
-// RunTerm and RequestExtension must return quickly. They are called concurrently from the Elector's
-// goroutines, and never with its lock held.
+// RequestExtension must return quickly. They are called concurrently from the Elector's goroutines,
+// and never with its lock held.
 type Node interface {
-	// RunTerm does the leader's work for the term of a lease. The context ends with the term. RunTerm
-	// returns once none of the term's work is running any more, which may be when this node has
-	// claimed its next term already.
-	RunTerm(ctx context.Context, lease *TermLease)
+	// BeginTerm is called when this node has claimed a term. It returns the leader's work for the term,
+	// which is run in a goroutine of its own with a context that ends with the term. The work returns
+	// once none of it is running any more, which may be when this node leads in a later term already.
+	BeginTerm(lease *TermLease) (work func(ctx context.Context))
+	// EndTerm is called when a term of this node is over, always before the next one begins.
+	EndTerm(term Term)
 	// LeaseResumed is called when the lease had lapsed and is valid again in the same term.
 	LeaseResumed(term Term)
 	// LeaderLost is called when there is no leader any more.
--- a/internal/leadership/term_lease_test.go
+++ b/internal/leadership/term_lease_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,6 +80,35 @@
 	})
 }
 
+// Guards against the end of a former term that its node took for the end of the present one: a node
+// must be told of the end of a term before the next begins, also while the former term's work goes on.
+func TestTermsFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := newFakeStore()
+		var calls []string
+		node := &fakeNode{
+			termStarted:  func(term Term) { calls = append(calls, fmt.Sprint("begin ", term.Number)) },
+			termEnded:    func(term Term) { calls = append(calls, fmt.Sprint("end ", term.Number)) },
+			workEndsLate: 5 * time.Second,
+		}
+		elector := New(client{store, "a"}, node, Options{Member: "a", TTL: 3 * time.Second})
+		go func() { _ = elector.Run(ctx) }() // ends with ctx
+		for range 2 {
+			time.Sleep(2 * time.Second)
+			store.expireLeases()
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		time.Sleep(10 * time.Second) // for the node to end
+		want := []string{"begin 1", "end 1", "begin 2", "end 2", "begin 3", "end 3"}
+		if !slices.Equal(calls, want) {
+			t.Errorf("calls of the node: %q, want %q", calls, want)
+		}
+	})
+}
+
 // A lease that was given up or ended is not valid any more, and says which successor was named.
 func TestLeaseStates(t *testing.T) {
 	for _, c := range []struct {
