simulation: nodes of worlds hold the product's lease of a term

The worlds had a copy of the lease's arithmetic of their own (renewals, extensions, their end), so that a fault in leadership.TermLease couldn't show in them. They now hold a TermLease, whose constructor and records are exported for that. RecordExtension says whether the lease was prolonged, which the worlds count.

--- a/internal/leadership/campaign.go
+++ b/internal/leadership/campaign.go
@@ -197,7 +197,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	lease := e.beginTerm(term, cancel)
-	lease.recordRenewal(requested)
+	lease.RecordRenewal(requested)
 	work := e.node.BeginTerm(lease)
 	e.terms.Go(func() { work(ctx) })
 	var extending sync.WaitGroup
@@ -214,7 +214,7 @@
 func (e *Elector) beginTerm(term Term, cancel context.CancelFunc) *TermLease {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease = newTermLease(term, NewLease(e.options.TTL, e.options.Others), cancel, e.log)
+	e.lease = NewTermLease(term, NewLease(e.options.TTL, e.options.Others), cancel, e.log)
 	e.lastTerm = term.Number
 	e.leader, e.successor = e.options.Member, ""
 	e.setRoleLocked(Leading)
@@ -257,7 +257,7 @@
 		e.log.Debug("lease renewal failed", "error", err)
 		return true
 	}
-	lease.recordRenewal(requested)
+	lease.RecordRenewal(requested)
 	if lapsed && lease.Valid(time.Now()) {
 		e.log.Info("leader lease valid again", "term", lease.Term().Number)
 		e.node.LeaseResumed(lease.Term())
--- a/internal/leadership/extension.go
+++ b/internal/leadership/extension.go
@@ -46,7 +46,7 @@
 		return
 	}
 	for wait.Sleep(ctx, extensionInterval) {
-		if lease.needsExtension(time.Now()) {
+		if lease.NeedsExtension(time.Now()) {
 			e.requestExtensions(ctx, lease)
 		}
 	}
@@ -62,7 +62,7 @@
 	for _, peer := range e.options.Others {
 		requests.Go(func() {
 			if e.node.RequestExtension(ctx, peer) {
-				lease.recordExtension(peer, time.Now(), requested.Add(CountedExtensionDuration))
+				lease.RecordExtension(peer, time.Now(), requested.Add(CountedExtensionDuration))
 			}
 		})
 	}
--- a/internal/leadership/term_lease.go
+++ b/internal/leadership/term_lease.go
@@ -34,9 +34,9 @@
 	termEnded                           // the term is over
 )
 
-// newTermLease returns the lease of a term, which isn't valid until its renewal is recorded. Cancel ends
-// the term's context.
-func newTermLease(term Term, validity *Lease, cancel context.CancelFunc, log *slog.Logger) *TermLease {
+// NewTermLease returns the lease of a term that was just claimed. It isn't valid until a renewal is
+// recorded, of the claim itself. Cancel ends the term's context.
+func NewTermLease(term Term, validity *Lease, cancel context.CancelFunc, log *slog.Logger) *TermLease {
 	return &TermLease{term: term, validity: validity, cancel: cancel, log: log.With("term", term.Number)}
 }
 
@@ -97,9 +97,9 @@
 	return l.successor, l.state == termResigning
 }
 
-// recordRenewal records that the lease was granted or renewed. Requested is when that was asked for.
+// RecordRenewal records that the lease was granted or renewed. Requested is when that was asked for.
 // It has no effect once the lease has been given up or the term has ended.
-func (l *TermLease) recordRenewal(requested time.Time) {
+func (l *TermLease) RecordRenewal(requested time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.state == termHeld {
@@ -107,23 +107,25 @@
 	}
 }
 
-// needsExtension returns whether the state service doesn't renew the lease, so that the peers have to
+// NeedsExtension returns whether the state service doesn't renew the lease, so that the peers have to
 // extend it.
-func (l *TermLease) needsExtension(now time.Time) bool {
+func (l *TermLease) NeedsExtension(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.state == termHeld && l.validity.NeedsExtension(now)
 }
 
-// recordExtension records that a peer extends the lease until a given time. It has no effect once the
-// lease has been given up or the term has ended.
-func (l *TermLease) recordExtension(peer string, now, until time.Time) {
+// RecordExtension records that a peer extends the lease until a given time. It has no effect once the
+// lease has been given up or the term has ended. It returns whether the lease now lasts longer.
+func (l *TermLease) RecordExtension(peer string, now, until time.Time) (prolonged bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.state != termHeld {
-		return
+		return false
 	}
+	before := l.validity.validUntil
 	if first := l.validity.RecordExtension(peer, now, until); first {
 		l.log.Warn("leader lease extended by peers")
 	}
+	return l.validity.validUntil.After(before)
 }
--- a/internal/leadership/term_lease_test.go
+++ b/internal/leadership/term_lease_test.go
@@ -36,9 +36,9 @@
 		if current == nil || !current.Valid(time.Now()) || current.Term().Number != former.Term().Number+1 {
 			t.Fatalf("the node leads with lease %+v after the one of term %d", current, former.Term().Number)
 		}
-		former.recordRenewal(time.Now())
-		former.recordExtension("b", time.Now(), time.Now().Add(time.Second))
-		if former.Valid(time.Now()) || former.needsExtension(time.Now()) {
+		former.RecordRenewal(time.Now())
+		former.RecordExtension("b", time.Now(), time.Now().Add(time.Second))
+		if former.Valid(time.Now()) || former.NeedsExtension(time.Now()) {
 			t.Error("the lease of a term that is over is valid, or asks to be extended")
 		}
 		former.HandOver("b")
@@ -126,10 +126,10 @@
 		{"ended, then handed over", func(l *TermLease) { l.End(); l.HandOver("b") }, true, false, ""},
 	} {
 		ended := false
-		lease := newTermLease(Term{Number: 1}, NewLease(time.Minute, nil), func() { ended = true }, slog.Default())
-		lease.recordRenewal(time.Now())
+		lease := NewTermLease(Term{Number: 1}, NewLease(time.Minute, nil), func() { ended = true }, slog.Default())
+		lease.RecordRenewal(time.Now())
 		c.change(lease)
-		lease.recordRenewal(time.Now())
+		lease.RecordRenewal(time.Now())
 		successor, resigned := lease.resignation()
 		if valid := lease.Valid(time.Now()); valid == (c.ended || c.resigned) || ended != c.ended {
 			t.Errorf("%s: valid %v, ended %v", c.name, valid, ended)
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -41,12 +41,11 @@
 
 // leaderState is the state of a node that leads. The engine is nil if the node doesn't lead.
 type leaderState struct {
-	engine     *core.Engine
-	term       leadership.Term
-	lease      int                 // id of its leader lease in the state service
-	leaseUntil time.Time           // end of the lease, by the node's clock
-	extensions map[*node]time.Time // ends of the extensions granted by peers, by the node's clock
-	writing    bool                // the outcome of a batch that was sent isn't known yet
+	engine    *core.Engine
+	term      leadership.Term
+	lease     int                   // id of its leader lease in the state service
+	termLease *leadership.TermLease // the same lease as the node sees it, by its own clock
+	writing   bool                  // the outcome of a batch that was sent isn't known yet
 }
 
 // links holds the current faults of a node's connections.
@@ -78,14 +77,14 @@
 
 // holdsLease reports whether the node leads and, by its own clock, its lease is valid.
 func (n *node) holdsLease() bool {
-	return !n.down && n.engine != nil && n.local().Before(n.leaseUntil)
+	return !n.down && n.engine != nil && n.termLease.Valid(n.local())
 }
 
 // boot starts the process and its periodic work, which ends with the process.
 func (n *node) boot() {
 	n.incarnation++
 	n.down, n.bootedAt = false, n.local()
-	n.leaderState = leaderState{extensions: map[*node]time.Time{}}
+	n.leaderState = leaderState{}
 	n.candidacy.pendingClaim, n.candidacy.grantedUntil = 0, time.Time{}
 	n.health = health.New(n.local())
 	n.bootStandby()
--- a/internal/simulation/node_election.go
+++ b/internal/simulation/node_election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"gingertally/internal/codec"
@@ -130,16 +131,26 @@
 // heldAs reports whether the lease with this id is still held.
 func (l *leaderLease) heldAs(now time.Time, id int) bool { return l.id == id && l.held(now) }
 
-// leaseRenewed records that a request has granted or renewed the lease. The lease lasts from when
-// the request was sent, shortened by the drift between two clocks and a margin.
+// leaseRenewed records that a request, sent at a time by the node's clock, has granted or renewed the
+// lease.
 func (n *node) leaseRenewed(sent time.Time) {
-	if u := sent.Add(n.w.options.LeaseTTL - n.w.options.LeaseTTL/500 - 100*time.Millisecond); u.After(n.leaseUntil) {
-		lapsed := !n.holdsLease()
-		n.leaseUntil = u
-		if lapsed && n.holdsLease() {
-			n.step(core.LeaseResumed{})
+	lapsed := !n.holdsLease()
+	n.termLease.RecordRenewal(sent)
+	if lapsed && n.holdsLease() {
+		n.step(core.LeaseResumed{})
+	}
+}
+
+// newTermLease returns the lease of a term that the node has claimed.
+func (n *node) newTermLease(t leadership.Term) *leadership.TermLease {
+	var peers []string
+	for _, o := range n.w.nodes {
+		if o != n {
+			peers = append(peers, o.name)
 		}
 	}
+	validity := leadership.NewLease(n.w.options.LeaseTTL, peers)
+	return leadership.NewTermLease(t, validity, func() {}, slog.New(slog.DiscardHandler))
 }
 
 // elected begins a term with the records that the state service holds. If they can't be read, the
@@ -149,7 +160,7 @@
 	if err != nil || n.readDrains(&snap) != nil {
 		return
 	}
-	n.term, n.lease, n.writing, n.leaseUntil, n.extensions = t, lease, false, time.Time{}, map[*node]time.Time{}
+	n.term, n.lease, n.termLease, n.writing = t, lease, n.newTermLease(t), false
 	snap.Restored = t.Restored
 	n.engine = core.New(n.local(), n.engineConfig(), t.Number, snap)
 	n.warmStart(t, revision)
--- a/internal/simulation/node_lease_extension.go
+++ b/internal/simulation/node_lease_extension.go
@@ -9,20 +9,9 @@
 // This file simulates the lease extension of package leadership: while the state service doesn't
 // renew the leader's lease, the lease lasts for as long as all peers have agreed not to claim.
 
-// extensionGranted records an extension that a peer has granted. If the lease is still valid, it is
-// extended to the earliest of the times that the peers have granted. A lapsed lease stays lapsed.
+// extensionGranted records an extension that a peer has granted until a time by this node's clock.
 func (n *node) extensionGranted(peer *node, until time.Time) {
-	if !n.holdsLease() {
-		return
-	}
-	n.extensions[peer] = until
-	for _, other := range n.w.nodes {
-		if granted := n.extensions[other]; other != n && granted.Before(until) {
-			until = granted
-		}
-	}
-	if until.After(n.leaseUntil) {
-		n.leaseUntil = until
+	if n.holdsLease() && n.termLease.RecordExtension(peer.name, n.local(), until) {
 		n.w.leaseExtensions++
 	}
 }
@@ -41,7 +30,7 @@
 // requestExtensions asks all peers to extend the lease if the state service hasn't renewed it for a
 // while. Nodes of the version in production don't support lease extensions.
 func (n *node) requestExtensions() {
-	if n.runsProduction || n.leaseUntil.Sub(n.local()) >= n.w.options.LeaseTTL*5/8 {
+	if n.runsProduction || !n.termLease.NeedsExtension(n.local()) {
 		return
 	}
 	for _, peer := range n.w.nodes {
