simulation: terms of a node overlap, and a former one is reached

With Options.Overlap (SIMULATION_OVERLAP) a new term first reads its records, and requests meanwhile reach what is left of the node's former term, which refuses them by its own lease. The state service refuses the leader until another node leads, and then all others, while the heartbeats of some machines are lost, so that the same node leads again.

singleLeader also holds that no worker or user is answered in an earlier term than a previous leader's. A row of TestInvariantsSeeViolations lets former terms act under any lease of their node, and that check sees it.

Two tests of leadership also synchronize before they read what a node recorded (race detector).

--- a/internal/leadership/term_lease_test.go
+++ b/internal/leadership/term_lease_test.go
@@ -69,6 +69,7 @@
 		time.Sleep(2 * time.Second)
 		currentLease(elector).End()
 		time.Sleep(4 * time.Second)
+		synctest.Wait()
 		if len(resumed) > 0 {
 			t.Errorf("leases are valid again: %+v", resumed)
 		}
@@ -102,6 +103,7 @@
 		time.Sleep(2 * time.Second)
 		cancel()
 		time.Sleep(10 * time.Second) // for the node to end
+		synctest.Wait()
 		want := []string{"begin 1", "end 1", "begin 2", "end 2", "begin 3", "end 3"}
 		if !slices.Equal(calls, want) {
 			t.Errorf("calls of the node: %q, want %q", calls, want)
--- a/internal/simulation/doc.go
+++ b/internal/simulation/doc.go
@@ -32,7 +32,7 @@
 //
 // A family is a kind of random world; each seed gives a different world. families_test.go lists
 // them: fault-free, random faults, correlated failures, pipelines, and short leases. Any of them
-// can have the warm standby, admission control, drains and a bounded pace enabled.
+// can have the warm standby, admission control, drains, a bounded pace and overlapping terms enabled.
 //
 // A scenario is a scripted world, in which faults coincide at the worst moment. Scenarios are rows
 // of the tables faultScenarios, standbyScenarios, recoveryScenarios and drainScenarios;
--- a/internal/simulation/families_test.go
+++ b/internal/simulation/families_test.go
@@ -121,7 +121,7 @@
 	if set("SHORT_LEASE") {
 		o = shortLeaseOptions(seed)
 	}
-	o.Standby, o.Drains = set("STANDBY"), set("DRAIN")
+	o.Standby, o.Drains, o.Overlap = set("STANDBY"), set("DRAIN"), set("OVERLAP")
 	if set("PACE") {
 		o.Pace = pace
 	}
--- a/internal/simulation/invariant_leader.go
+++ b/internal/simulation/invariant_leader.go
@@ -1,12 +1,12 @@
 package simulation
 
-// singleLeader: no two controllers hold a valid leader lease at once, none holds one in an earlier
-// term than a previous leader's, and none acts while its process is paused. What leaders send to
+// singleLeader: no two controllers hold a valid leader lease at once, none holds one or answers a
+// worker or user in an earlier term than a previous leader's, and none acts while its process is paused. What leaders send to
 // workers and the state service is fenced by their term, so the protocol's rules about tasks and
 // jobs depend on this.
 //
-// Deliberate faults: "a second node with a valid lease", "a leader of an earlier term", "a paused leader that
-// acts".
+// Deliberate faults: "a second node with a valid lease", "a leader of an earlier term", "a former term that
+// acts under the lease of the next", "a paused leader that acts".
 type singleLeader struct {
 	w          *World
 	newestTerm uint64 // highest term of the leaders so far
@@ -16,6 +16,10 @@
 	switch o := o.(type) {
 	case eventHandled:
 		i.checkLeaders()
+	case answeredInTerm:
+		if o.term < i.newestTerm {
+			i.w.checker.fail("stale leader: a worker or user is answered in term %d after term %d", o.term, i.newestTerm)
+		}
 	case engineStepped:
 		if o.node.paused() {
 			i.w.checker.fail("%s acts while it is paused", o.node.name)
--- a/internal/simulation/invariants.go
+++ b/internal/simulation/invariants.go
@@ -57,6 +57,8 @@
 	unknownJobReported struct{ view core.JobView }
 	// queryFinished: a user's query about a job has ended, with or without an answer.
 	queryFinished struct{ job *userJob }
+	// answeredInTerm: a node answers a worker or a user from the engine of a term.
+	answeredInTerm struct{ term uint64 }
 	// heartbeatAnswered: a leader sends its response to a heartbeat.
 	heartbeatAnswered struct {
 		machine  string
@@ -92,6 +94,7 @@
 func (cancellationReported) isObservation() {}
 func (unknownJobReported) isObservation()   {}
 func (queryFinished) isObservation()        {}
+func (answeredInTerm) isObservation()       {}
 func (heartbeatAnswered) isObservation()    {}
 func (directCommandsSent) isObservation()   {}
 func (engineStepped) isObservation()        {}
--- a/internal/simulation/invariants_test.go
+++ b/internal/simulation/invariants_test.go
@@ -222,6 +222,9 @@
 	{name: "a leader of an earlier term", wantViolation: "stale leader", plan: func(w *World) {
 		w.after(20*time.Second, func() { w.currentLeader().term.Number-- })
 	}},
+	{name: "a former term that acts under the lease of the next", wantViolation: "is answered in term",
+		options: func(o *Options) { o.Overlap = true },
+		plan:    func(w *World) { w.overlap.leaseOfNode = true }},
 	{name: "a paused leader that acts", wantViolation: "acts while it is paused", plan: func(w *World) {
 		w.after(20*time.Second, func() {
 			n := w.currentLeader()
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -22,6 +22,8 @@
 
 	process
 	leaderState
+	former    *formerTerm // only in worlds with overlapping terms, like takeover
+	takeover  *takeover   // nil unless the node is reading the records of a term
 	candidacy candidacy
 	links     links
 	request   storeRequest
@@ -84,7 +86,7 @@
 func (n *node) boot() {
 	n.incarnation++
 	n.down, n.bootedAt = false, n.local()
-	n.leaderState = leaderState{}
+	n.leaderState, n.former, n.takeover = leaderState{}, nil, nil
 	n.candidacy.pendingClaim, n.candidacy.grantedUntil = 0, time.Time{}
 	n.health = health.New(n.local())
 	n.bootStandby()
@@ -102,7 +104,7 @@
 // crash ends the process, and boots it again after downFor.
 func (n *node) crash(downFor time.Duration) {
 	n.down, n.pausedUntil, n.busyUntil = true, time.Time{}, time.Time{}
-	n.engine, n.publisher = nil, nil
+	n.engine, n.publisher, n.former, n.takeover = nil, nil, nil, nil
 	n.incarnation++
 	n.w.after(downFor, n.boot)
 }
--- a/internal/simulation/node_election.go
+++ b/internal/simulation/node_election.go
@@ -27,6 +27,9 @@
 		n.renew()
 		return
 	}
+	if n.takeover != nil {
+		return
+	}
 	if n.candidacy.claimTried && n.w.chance(0.5) {
 		n.candidacy.claimTried = false
 		return
@@ -153,14 +156,21 @@
 	return leadership.NewTermLease(t, validity, func() {}, slog.New(slog.DiscardHandler))
 }
 
-// elected begins a term with the records that the state service holds. If they can't be read, the
-// node doesn't lead.
+// elected begins a term that the node has claimed.
 func (n *node) elected(t leadership.Term, lease int, sent time.Time) {
+	termLease := n.newTermLease(t)
+	n.w.overlap.takeOver(n, termLease, sent, func() { n.readRecords(termLease, lease, sent) })
+}
+
+// readRecords begins to lead in a term with the records that the state service holds. If they can't be
+// read, the node doesn't lead.
+func (n *node) readRecords(termLease *leadership.TermLease, lease int, sent time.Time) {
+	t := termLease.Term()
 	snap, revision, err := n.jobs.Snapshot(context.Background())
 	if err != nil || n.readDrains(&snap) != nil {
 		return
 	}
-	n.term, n.lease, n.termLease, n.writing = t, lease, n.newTermLease(t), false
+	n.term, n.lease, n.termLease, n.writing = t, lease, termLease, false
 	snap.Restored = t.Restored
 	n.engine = core.New(n.local(), n.engineConfig(), t.Number, snap)
 	n.warmStart(t, revision)
--- a/internal/simulation/node_heartbeats.go
+++ b/internal/simulation/node_heartbeats.go
@@ -41,6 +41,9 @@
 	if n.holdsLease() {
 		return n.answerAsLeader(h.Machine, core.HeartbeatReceived{Heartbeat: h})
 	}
+	if former := n.reachedFormerTerm(); former != nil {
+		return former.answer(n, h)
+	}
 	if relayed || !n.health.CanServe(n.local()) {
 		return answerUnavailable
 	}
@@ -62,6 +65,7 @@
 	case response == nil || !response.OK || !n.holdsLease():
 		return answerUnavailable
 	}
+	n.w.checker.observe(answeredInTerm{n.term.Number})
 	n.w.checker.observe(heartbeatAnswered{machine, *response})
 	return heartbeatAnswer{status: http.StatusOK, response: *response}
 }
--- a/internal/simulation/node_lease_extension.go
+++ b/internal/simulation/node_lease_extension.go
@@ -66,7 +66,7 @@
 // refuses if it leads, is claiming, or runs the version in production. If the state service serves
 // it, it refuses most of the time, but not always, since safety doesn't depend on this refusal.
 func (n *node) grantExtension() bool {
-	if n.runsProduction || n.engine != nil || n.candidacy.pendingClaim != 0 {
+	if n.runsProduction || n.engine != nil || n.takeover != nil || n.candidacy.pendingClaim != 0 {
 		return false
 	}
 	if served := !n.storeRefuses() && !n.cutOffFromStore(); served && !n.w.script.grantsWhileServed() && !n.w.chance(0.2) {
--- a/internal/simulation/node_queries.go
+++ b/internal/simulation/node_queries.go
@@ -41,6 +41,12 @@
 	}
 	if n.engine != nil {
 		if v, known := n.engine.Lookup(ref); known && n.holdsLease() {
+			n.w.checker.observe(answeredInTerm{n.term.Number})
+			return v, true, true
+		}
+	}
+	if former := n.reachedFormerTerm(); former != nil {
+		if v, known := former.lookUp(n, ref); known {
 			return v, true, true
 		}
 	}
--- a/internal/simulation/node_standby.go
+++ b/internal/simulation/node_standby.go
@@ -82,6 +82,7 @@
 // endTerm ends the term in which the node leads.
 func (n *node) endTerm() {
 	n.termLease.End()
+	n.w.overlap.termEnded(n)
 	n.engine, n.publisher = nil, nil
 	if n.standby != nil {
 		n.standby.TermEnded(n.term.Number)
--- a/internal/simulation/random.go
+++ b/internal/simulation/random.go
@@ -21,6 +21,7 @@
 	standbyStream    = 23
 	drainStream      = 23
 	admissionStream  = 29
+	overlapStream    = 31
 )
 
 func newRandom(seed, stream uint64) random { return random{rand.New(rand.NewPCG(seed, stream))} }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -39,6 +39,7 @@
 	Standby    bool                 // warm standby: the leader's state is replicated to other nodes
 	Admission  bool                 // admission control, and a team that floods the deployment
 	Drains     bool                 // operators drain machines, within disruption budgets
+	Overlap    bool                 // terms of a node overlap, and leaders lose and regain the lead
 	DrainFault deliberateDrainFault // breaks a rule of drains, to test that its invariant fails
 }
 
@@ -66,6 +67,7 @@
 	admission  *admissionNetwork
 	drains     *drainOperators
 	standbys   *standbyNetwork
+	overlap    *termOverlap
 	script     *script
 
 	// Checks and records of the run.
@@ -116,6 +118,9 @@
 	if o.CorrelatedFailures {
 		w.planCorrelatedFailures()
 	}
+	if o.Overlap {
+		w.overlap = newTermOverlap(w)
+	}
 	return w
 }
 
