statestore: a watch ends with its context

What callers saw, in a test of the client (loopback): after the contexts of four watches had ended, the next one found a connection only 7.0 s later, and they returned only then.

A request in flight knows its context's deadline, but not its end.

Each watch has a connection to itself, which is closed when the watch's context ends, and is otherwise kept for the next watch. As before, four at most are in flight.

--- a/internal/controller/former_term_test.go
+++ b/internal/controller/former_term_test.go
@@ -21,15 +21,16 @@
 	lastRecordList  = "/store?starts=i/" // the last one
 )
 
-// overlap is a controller that has claimed a term while its former one still ends.
+// overlap is a controller that has claimed a term while the state service still holds a request of its
+// former one.
 type overlap struct {
 	claimed        leadership.Term // the present term
 	releaseRecords func()          // lets the present term read its records
-	releaseWatch   func()          // lets the former term end
+	releaseWatch   func()          // answers the former term's watch
 }
 
 // leadAgain makes a controller that leads in its first term lose its lease and claim the next. It
-// returns while the former term waits for its watch, and the present one for its records.
+// returns while the former term's watch isn't answered, and the present term waits for its records.
 func leadAgain(t *testing.T, store *fakeStore) overlap {
 	t.Helper()
 	releaseWatch := store.block(t, watchRequest)
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -30,7 +30,7 @@
 // Client is a client of the state service.
 type Client struct {
 	http     *fasthttp.HostClient // for all requests but watches
-	watches  *fasthttp.HostClient
+	watches  *watchConns
 	requests *rate.Limiter // limits all requests but those about leases and those of IsServing
 	writes   *rate.Limiter // limits the changes in transactions
 	contact  func(Contact) // called with each response
@@ -65,7 +65,7 @@
 )
 
 const (
-	// maxWatchConns bounds the number of connections for watches.
+	// maxWatchConns bounds the number of watches in flight, each of which has a connection.
 	maxWatchConns = 4
 	// maxResponseBytes bounds the size of a response's body.
 	maxResponseBytes = 8 << 20
@@ -85,7 +85,7 @@
 	return &Client{
 		contact:  options.Contact,
 		http:     newHostClient(options.Addr, callTimeout, options.MaxConns),
-		watches:  newHostClient(options.Addr, watchReadTimeout, maxWatchConns),
+		watches:  &watchConns{addr: options.Addr},
 		requests: requestLimiter(options.Requests),
 		writes:   rate.NewLimiter(rate.Limit(options.Writes), max(minBurst, options.Burst)),
 	}
--- a/internal/statestore/doc.go
+++ b/internal/statestore/doc.go
@@ -13,6 +13,6 @@
 //
 // A Client is safe for concurrent use. All goroutines of a controller share one, or several that are
 // made from it by WithRates. A request waits at most maxRateWait for each rate limit, and then ends
-// within its timeout, or by the context's deadline if that is earlier. List makes one request per
-// page.
+// within its timeout, or by the context's deadline if that is earlier; a watch ends with its context.
+// List makes one request per page.
 package statestore
