--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,10 +12,11 @@
 //	metrics        the metrics that /metrics shows
 //
 // In this package itself, http.go routes the requests of users, workers and operators, and peers.go
-// those of other controllers. node.go implements the node interface of leader election,
-// current_term.go holds the present term, leader_view.go gives the services of users, workers and operators access to the leader, contact.go
-// tracks the contact with the state service and the other controllers, and core_config.go derives
-// the engine's configuration from the settings.
+// those of other controllers. node.go implements the node interface of leader election, and
+// current_term.go holds this controller's present term. leader_view.go gives the services of users,
+// workers and operators access to the leader, contact.go tracks the contact with the state service
+// and the other controllers, and core_config.go derives the engine's configuration from the
+// settings.
 package controller
 
 import (
