--- a/internal/controller/former_term_test.go
+++ b/internal/controller/former_term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,20 +43,30 @@
 	return overlap{claimed, releaseRecords, releaseWatch}
 }
 
-// newTestWorker returns a worker that the controller has heard.
-func newTestWorker(t *testing.T, controller runningController) *worker {
+// startLeader starts a controller that leads in its first term and has answered its one worker.
+func startLeader(t *testing.T) (*fakeStore, runningController, *worker) {
 	t.Helper()
+	store := &fakeStore{items: map[string]wire.StoreItem{}}
+	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
 	work := &worker{addrs: []string{controller.addr}, tasks: map[string]map[string]any{}}
-	eventually(t, "the worker has the leader's fencing token", func() bool {
-		return work.sendHeartbeat(t) == fasthttp.StatusOK
-	})
-	return work
+	work.awaitTerm(t, 1)
+	return store, controller, work
+}
+
+// submitJob submits the job j-1, and returns the user's client.
+func submitJob(t *testing.T, controller runningController) *client.Client {
+	t.Helper()
+	user := &client.Client{Addr: controller.addr}
+	if _, err := user.Submit(t.Context(), jobJSON("j-1")); err != nil {
+		t.Fatal(err)
+	}
+	return user
 }
 
 // awaitTerm waits until a leader answers the worker in a term or a later one.
 func (w *worker) awaitTerm(t *testing.T, number uint64) {
 	t.Helper()
-	eventually(t, "the next term answers the worker", func() bool {
+	eventually(t, fmt.Sprintf("term %d or a later one answers the worker", number), func() bool {
 		return w.sendHeartbeat(t) == fasthttp.StatusOK && w.fencingToken >= number
 	})
 }
@@ -63,13 +74,8 @@
 // Guards against ran_twice: a term that is over sent workers its starts while its controller, which
 // had claimed again, was still reading the records of the next term.
 func TestFormerTermAnswersNoWorker(t *testing.T) {
-	store := &fakeStore{items: map[string]wire.StoreItem{}}
-	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
-	work := newTestWorker(t, controller)
-	user := &client.Client{Addr: controller.addr}
-	if _, err := user.Submit(t.Context(), jobJSON("j-1")); err != nil {
-		t.Fatal(err)
-	}
+	store, controller, work := startLeader(t)
+	submitJob(t, controller)
 	eventually(t, "the start is recorded", func() bool { return store.holdsPrefix("s/") })
 	overlap := leadAgain(t, store)
 	if status := work.sendHeartbeat(t); status == fasthttp.StatusOK {
@@ -84,13 +90,8 @@
 // leader had ended the job, while its controller, which had claimed again, was still reading the
 // records of the next term.
 func TestFormerTermAnswersNoUser(t *testing.T) {
-	store := &fakeStore{items: map[string]wire.StoreItem{}}
-	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
-	work := newTestWorker(t, controller)
-	user := &client.Client{Addr: controller.addr}
-	if _, err := user.Submit(t.Context(), jobJSON("j-1")); err != nil {
-		t.Fatal(err)
-	}
+	store, controller, work := startLeader(t)
+	user := submitJob(t, controller)
 	eventually(t, "the job is running", func() bool {
 		work.sendHeartbeat(t)
 		answer, err := user.Get(t.Context(), "j-1")
@@ -111,9 +112,7 @@
 // Guards against a leader that serves nobody: the takeover of a term that was over took the place of
 // the present term, which then answered neither workers nor users until it resigned.
 func TestFormerTakeoverDisplacesNoTerm(t *testing.T) {
-	store := &fakeStore{items: map[string]wire.StoreItem{}}
-	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
-	work := newTestWorker(t, controller)
+	store, _, work := startLeader(t)
 	releaseFormer := store.block(t, lastRecordList)
 	store.expireLeases()
 	eventually(t, "the second term reads its records", func() bool { return store.waiting(lastRecordList) > 0 })
@@ -132,9 +131,7 @@
 // Guards against alarms about a missing leader: the end of a term that was over made the metrics say
 // that the controller didn't lead, for the whole of its present term.
 func TestFormerTermLeavesTheMetrics(t *testing.T) {
-	store := &fakeStore{items: map[string]wire.StoreItem{}}
-	controller := leaderFirst(t, startControllers(t, store, "n-1"))[0]
-	work := newTestWorker(t, controller)
+	store, controller, work := startLeader(t)
 	overlap := leadAgain(t, store)
 	overlap.releaseRecords()
 	work.awaitTerm(t, overlap.claimed.Number)
